--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,148 @@
+//! The doors: users, workers, health checks and the other controllers.
+
+use crate::limiter::Limiter;
+use crate::node::{Abort, Answer, Health, Node, Poll, PeerView, Submit, WorkerAnswer, WorkerReport};
+use crate::peer;
+use crate::protocol::{self as wire, decode, encode, JobSpec, Report, BODY_LIMIT};
+use actix::Addr;
+use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// What the handlers share.
+#[derive(Clone)]
+struct Door {
+    node: Addr<Node>,
+    internal: SocketAddr,
+    limiter: Arc<Mutex<Limiter>>,
+}
+
+const RETRY_S: &str = "1";
+
+fn reply(status: u16, body: Vec<u8>) -> HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(status).unwrap_or(actix_web::http::StatusCode::OK);
+    HttpResponse::build(status).content_type("application/cbor").body(body)
+}
+
+fn plain(status: u16, error: &str) -> HttpResponse {
+    reply(status, encode(&std::collections::BTreeMap::from([("error", error)])))
+}
+
+fn later(status: u16, error: &str) -> HttpResponse {
+    let mut r = plain(status, error);
+    r.headers_mut().insert(
+        actix_web::http::header::RETRY_AFTER,
+        actix_web::http::header::HeaderValue::from_static(RETRY_S),
+    );
+    r
+}
+
+fn answer(a: Answer) -> HttpResponse {
+    match a {
+        Answer::Job(status, view) => reply(status, encode(&view)),
+        Answer::Unknown => plain(404, "no such job"),
+        Answer::Never(why) => plain(422, why),
+        Answer::Later => later(503, "try again"),
+    }
+}
+
+impl Door {
+    /// Runs a user's request under the limit on requests in progress.
+    async fn limited<F: std::future::Future<Output = Option<Answer>>>(&self, request: F) -> HttpResponse {
+        let enter = |l: &Mutex<Limiter>| l.lock().map(|mut l| l.enter()).unwrap_or(true);
+        if !enter(&self.limiter) {
+            return later(429, "too many requests in progress");
+        }
+        let from = Instant::now();
+        let a = request.await.unwrap_or(Answer::Later);
+        if let Ok(mut l) = self.limiter.lock() {
+            l.leave(from.elapsed().as_millis() as u64, !matches!(a, Answer::Later));
+        }
+        answer(a)
+    }
+}
+
+async fn submit(door: web::Data<Door>, body: web::Bytes) -> HttpResponse {
+    let Some(spec) = decode::<JobSpec>(&body) else { return plain(400, "malformed") };
+    if let Err(field) = spec.check() {
+        return plain(400, field);
+    }
+    door.limited(async { door.node.send(Submit(spec)).await.ok() }).await
+}
+
+async fn poll(door: web::Data<Door>, id: web::Path<String>) -> HttpResponse {
+    if !wire::job_id(&id) {
+        return plain(404, "no such job");
+    }
+    door.limited(async { door.node.send(Poll(id.into_inner())).await.ok() }).await
+}
+
+async fn abort(door: web::Data<Door>, id: web::Path<String>) -> HttpResponse {
+    if !wire::job_id(&id) {
+        return plain(404, "no such job");
+    }
+    door.limited(async { door.node.send(Abort(id.into_inner())).await.ok() }).await
+}
+
+async fn up(door: web::Data<Door>) -> HttpResponse {
+    match door.node.send(Health).await {
+        Ok(true) => HttpResponse::Ok().finish(),
+        _ => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn hello(door: web::Data<Door>, body: web::Bytes) -> HttpResponse {
+    let Some(report) = decode::<Report>(&body) else {
+        tracing::info!(bytes = body.len(), "report not understood");
+        return plain(400, "malformed");
+    };
+    match door.node.send(WorkerReport(report)).await {
+        Ok(WorkerAnswer::Reply(r)) => reply(200, encode(&r)),
+        Ok(WorkerAnswer::Elsewhere(report_to)) => reply(421, encode(&wire::Redirect { report_to })),
+        _ => plain(503, "no right to act"),
+    }
+}
+
+async fn view(door: web::Data<Door>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    // Both addresses share one server; only the internal one leads here.
+    if request.app_config().local_addr() != door.internal {
+        return plain(404, "no such path");
+    }
+    let Some(view) = peer::decode(&body) else { return plain(400, "malformed") };
+    match door.node.send(PeerView(view)).await {
+        Ok(own) => HttpResponse::Ok().body(peer::encode(&own)),
+        Err(_) => plain(503, "stopping"),
+    }
+}
+
+/// Serves both addresses until the process ends.
+pub async fn serve(node: Addr<Node>, api: SocketAddr, internal: SocketAddr, connections: usize) -> std::io::Result<()> {
+    let door = Door { node, internal, limiter: Arc::new(Mutex::new(Limiter::default())) };
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(door.clone()))
+            .app_data(web::PayloadConfig::new(BODY_LIMIT))
+            .service(web::resource("/v1/jobs").route(web::post().to(submit)))
+            .service(web::resource("/v1/jobs/{id}").route(web::get().to(poll)))
+            .service(web::resource("/v1/jobs/{id}/abort").route(web::post().to(abort)))
+            .service(web::resource("/up").route(web::get().to(up)))
+            .service(
+                // A report lists everything on its machine; workers are not limited as users are.
+                web::resource("/hello").app_data(web::PayloadConfig::new(16 * BODY_LIMIT)).route(web::post().to(hello)),
+            )
+            .service(
+                web::resource("/peer/view").app_data(web::PayloadConfig::new(peer::LIMIT)).route(web::post().to(view)),
+            )
+            .default_service(web::to(|| async { plain(404, "no such path") }))
+    })
+    .workers(1)
+    .max_connections(connections)
+    .keep_alive(Duration::from_secs(75))
+    .client_request_timeout(Duration::from_secs(10))
+    .disable_signals()
+    .shutdown_timeout(0)
+    .bind(api)?;
+    let server = if internal == api { server } else { server.bind(internal)? };
+    server.run().await
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! hollowswitch: a cluster scheduler that rents machines by the second and keeps every task in at most one place.
+//!
+//! The program in `main.rs` is thin; [`node::run`] is the whole service. Start reading at [`part`], the logic without
+//! I/O, and `docs/design.md`.
+#![warn(missing_docs)]
+
+pub mod api;
+pub mod cloud;
+pub mod config;
+pub mod fleet;
+pub mod leader;
+pub mod limiter;
+pub mod node;
+pub mod part;
+pub mod peer;
+pub mod placement;
+pub mod protocol;
+pub mod store;
+pub mod worker;
--- /dev/null
+++ b/src/limiter.rs
@@ -0,0 +1,107 @@
+//! A limit on user requests in progress that adjusts itself to measured times.
+//!
+//! The limit grows while requests finish about as fast as they ever do, and shrinks when they take much longer: then
+//! they are waiting for each other, and one more only makes all of them later.
+
+use hdrhistogram::Histogram;
+
+const WINDOW: u64 = 20;
+const LEAST: f64 = 4.0;
+const MOST: f64 = 512.0;
+
+/// The limiter; all times in milliseconds.
+pub struct Limiter {
+    limit: f64,
+    in_progress: usize,
+    peak: usize,
+    window: Histogram<u32>,
+    best_ms: f64,
+}
+
+impl Default for Limiter {
+    fn default() -> Self {
+        Limiter {
+            limit: 32.0,
+            in_progress: 0,
+            peak: 0,
+            // Two digits over a minute: the bounds are valid, so the fallback is never taken.
+            window: Histogram::new_with_max(60_000, 2).unwrap_or_else(|_| Histogram::new(1).expect("valid precision")),
+            best_ms: f64::INFINITY,
+        }
+    }
+}
+
+impl Limiter {
+    /// Admits a request, or not.
+    pub fn enter(&mut self) -> bool {
+        if self.in_progress >= self.limit as usize {
+            return false;
+        }
+        self.in_progress += 1;
+        self.peak = self.peak.max(self.in_progress);
+        true
+    }
+
+    /// A request has ended. `ours` is false where its time says nothing about this node's load (an outage elsewhere).
+    pub fn leave(&mut self, took_ms: u64, ours: bool) {
+        self.in_progress = self.in_progress.saturating_sub(1);
+        if !ours {
+            return;
+        }
+        self.window.saturating_record(took_ms.max(1));
+        if self.window.len() < WINDOW {
+            return;
+        }
+        let usual = self.window.value_at_quantile(0.5) as f64;
+        // The best time is forgotten slowly, so that a service that has become slower for good is learned.
+        self.best_ms = (self.best_ms * 1.02).min(usual).max(5.0);
+        if usual > 4.0 * self.best_ms {
+            self.limit = (self.limit * 0.85).max(LEAST);
+        } else if self.peak * 2 >= self.limit as usize {
+            self.limit = (self.limit + 2.0).min(MOST);
+        }
+        self.window.reset();
+        self.peak = self.in_progress;
+    }
+
+    /// The limit at present.
+    pub fn limit(&self) -> usize {
+        self.limit as usize
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rounds(l: &mut Limiter, at_once: usize, took: u64, n: usize) {
+        for _ in 0..n {
+            let admitted = (0..at_once).filter(|_| l.enter()).count();
+            (0..admitted).for_each(|_| l.leave(took, true));
+        }
+    }
+
+    #[test]
+    fn grows_while_fast_and_shrinks_when_slow() {
+        let mut l = Limiter::default();
+        rounds(&mut l, 30, 10, 20);
+        let grown = l.limit();
+        assert!(grown > 32);
+        rounds(&mut l, 60, 400, 30);
+        assert!(l.limit() < grown / 2);
+        (0..1000).for_each(|_| {
+            l.enter();
+        });
+        assert!(!l.enter());
+    }
+
+    #[test]
+    fn an_outage_elsewhere_teaches_nothing() {
+        let mut l = Limiter::default();
+        for _ in 0..100 {
+            assert!(l.enter());
+            l.leave(4000, false);
+        }
+        assert_eq!(l.limit(), 32);
+    }
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,135 @@
+//! Where tasks should run, after DGNS: measured capability, fastest group first, holders first, the transfer test.
+
+/// Number of classes: a job's dominant requested resource.
+pub const CLASSES: usize = 3;
+/// Weight of a new measurement in a running mean.
+const WEIGHT: f64 = 0.2;
+
+/// A job's class: which of CPU, accelerators and memory it takes the largest share of.
+pub fn class_of(need: [u64; 3], typical: [u64; 3]) -> usize {
+    let share = |i: usize| need[i] as f64 / typical[i].max(1) as f64;
+    (0..CLASSES).fold(0, |best, i| if share(i) > share(best) { i } else { best })
+}
+
+/// Running means of a machine's task times over their jobs' means, per class.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Capability([Option<f64>; CLASSES]);
+
+impl Capability {
+    /// Takes in a finished task: its time here over its job's mean time across machines.
+    pub fn measure(&mut self, class: usize, ratio: f64) {
+        let ratio = ratio.clamp(0.05, 20.0);
+        let mean = self.0[class].map_or(ratio, |old| old + WEIGHT * (ratio - old));
+        self.0[class] = Some(mean);
+    }
+
+    /// c, if measured.
+    pub fn get(&self, class: usize) -> Option<f64> {
+        self.0[class].map(|mean| 1.0 / mean)
+    }
+}
+
+/// A machine on which a job's tasks may run.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// Index of the machine.
+    pub machine: usize,
+    /// Measured or assumed capability.
+    pub c: f64,
+    /// Whether it holds the image.
+    pub holder: bool,
+    /// How many tasks fit now.
+    pub room: u32,
+    /// How long until a task would fit.
+    pub wait_s: f64,
+    /// Order among equals, lowest first.
+    pub order: u64,
+}
+
+/// What is known of a job's tasks.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask {
+    /// How many tasks to place.
+    pub tasks: u32,
+    /// Expected time on a machine with c = 1.
+    pub time_s: f64,
+    /// Image size over the fetch rate.
+    pub transfer_s: f64,
+    /// Group factor.
+    pub group_factor: f64,
+    /// Whether the transfer test applies.
+    pub transfer_test: bool,
+}
+
+/// Spreads tasks over machines: groups from the fastest on, in each the holders first, then others whose time with the
+/// transfer beats waiting for a holder. Tasks that should wait are left out.
+pub fn plan(mut candidates: Vec<Candidate>, ask: Ask) -> Vec<(usize, u32)> {
+    candidates.sort_by(|a, b| b.c.total_cmp(&a.c));
+    let mut left = ask.tasks;
+    let mut out = Vec::new();
+    let mut from = 0;
+    while from < candidates.len() && left > 0 {
+        let floor = candidates[from].c / ask.group_factor;
+        let to = from + candidates[from..].iter().take_while(|m| m.c >= floor).count();
+        let mut group: Vec<&Candidate> = candidates[from..to].iter().filter(|m| m.room > 0).collect();
+        group.sort_by_key(|m| (!m.holder, m.order));
+        for m in group {
+            if !m.holder && ask.transfer_test && !beats_holders(m, &candidates, ask) {
+                continue;
+            }
+            let n = m.room.min(left);
+            out.push((m.machine, n));
+            left -= n;
+            if left == 0 {
+                break;
+            }
+        }
+        from = to;
+    }
+    out
+}
+
+/// Equation (5) of the paper with its sides named: the non-holder's time and transfer against waiting for a holder.
+fn beats_holders(m: &Candidate, all: &[Candidate], ask: Ask) -> bool {
+    let here = ask.time_s / m.c + ask.transfer_s;
+    all.iter().filter(|h| h.holder && h.room == 0).all(|h| here < ask.time_s / h.c + h.wait_s)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn m(machine: usize, c: f64, holder: bool, room: u32, wait_s: f64) -> Candidate {
+        Candidate { machine, c, holder, room, wait_s, order: machine as u64 }
+    }
+    fn ask(tasks: u32) -> Ask {
+        Ask { tasks, time_s: 60.0, transfer_s: 20.0, group_factor: 1.25, transfer_test: true }
+    }
+
+    #[test]
+    fn fastest_group_first_and_holders_first_within_it() {
+        let all = vec![m(0, 0.5, true, 9, 0.0), m(1, 1.0, false, 2, 0.0), m(2, 0.95, true, 2, 0.0)];
+        assert_eq!(plan(all, ask(6)), vec![(2, 2), (1, 2), (0, 2)]);
+    }
+
+    #[test]
+    fn a_non_holder_runs_only_if_it_beats_waiting_for_a_holder() {
+        let soon = vec![m(0, 1.0, true, 0, 5.0), m(1, 1.0, false, 4, 0.0)];
+        assert!(plan(soon, ask(1)).is_empty());
+        let late = vec![m(0, 1.0, true, 0, 50.0), m(1, 1.0, false, 4, 0.0)];
+        assert_eq!(plan(late, ask(1)), vec![(1, 1)]);
+        let soon = vec![m(0, 1.0, true, 0, 5.0), m(1, 1.0, false, 4, 0.0)];
+        assert_eq!(plan(soon, Ask { transfer_test: false, ..ask(1) }), vec![(1, 1)]);
+    }
+
+    #[test]
+    fn capability_is_the_inverse_of_the_mean_ratio() {
+        let mut c = Capability::default();
+        assert_eq!(c.get(0), None);
+        c.measure(0, 2.0);
+        assert_eq!(c.get(0), Some(0.5));
+        c.measure(0, 1.0);
+        assert!(c.get(0).unwrap() > 0.5 && c.get(1).is_none());
+        assert_eq!(class_of([4000, 0, 13], [64000, 1, 256]), 0);
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,519 @@
+//! The state service: keys, records, a mirror of them kept by a watch, and the client.
+//!
+//! Keys live below one root so that several tenants can have one each later.
+
+use crate::protocol::{self as wire, Change, Event, Guard, Item, JobSpec, MachineType, Txn};
+use ciborium::Value;
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Everything of this deployment is below this prefix.
+pub const ROOT: &str = "hollowswitch/";
+/// Tasks covered by one progress record: its text stays near 1 KiB, well below any value limit.
+pub const CHUNK: u32 = 4096;
+const OVER_CACHE: usize = 20_000;
+
+/// Key of the leader's hold.
+pub fn leader_key() -> String {
+    format!("{ROOT}leader")
+}
+/// Key of the epoch record.
+pub fn epoch_key() -> String {
+    format!("{ROOT}epoch")
+}
+/// Key of the machine types last seen.
+pub fn catalogue_key() -> String {
+    format!("{ROOT}catalogue")
+}
+/// Key of an unfinished job.
+pub fn live_key(job: &str) -> String {
+    format!("{ROOT}live/{job}")
+}
+/// Key of a cancelled job of which tasks may still be somewhere.
+pub fn stopping_key(job: &str) -> String {
+    format!("{ROOT}stopping/{job}")
+}
+/// Key of a finished job.
+pub fn over_key(job: &str) -> String {
+    format!("{ROOT}over/{job}")
+}
+/// Key of a range of finished tasks.
+pub fn done_key(job: &str, chunk: u32) -> String {
+    format!("{ROOT}done/{job}/{chunk}")
+}
+/// Key of a rental request and its machines.
+pub fn hire_key(hire: &str) -> String {
+    format!("{ROOT}hire/{hire}")
+}
+
+/// An unfinished job.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LiveRecord {
+    /// The job.
+    pub spec: JobSpec,
+    /// Time of day of the submission, in milliseconds.
+    pub at_ms: u64,
+}
+
+/// A finished job; final.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OverRecord {
+    /// Whether its user cancelled it.
+    pub cancelled: bool,
+    /// Its number of tasks.
+    pub tasks: u32,
+}
+
+/// The node that leads, attached to its hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Node.
+    pub node: String,
+    /// Its incarnation: another one after every start of the process.
+    pub incarnation: u64,
+}
+
+/// The current epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EpochRecord {
+    /// Number; grows by one with every change.
+    pub number: u64,
+    /// Who leads it.
+    pub leader: LeaderRecord,
+    /// Its members, among which the machines are divided.
+    pub members: Vec<LeaderRecord>,
+}
+
+/// A rental request, written before the cloud is called, and the machines it brought.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HireRecord {
+    /// Machine type.
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot machines.
+    pub spot: bool,
+    /// How many were asked for.
+    pub count: u32,
+    /// Machines; none while the answer is unknown.
+    pub machines: Option<Vec<String>>,
+    /// Those that have reported: only they may hold tasks.
+    pub up: Vec<String>,
+}
+
+/// A versioned record.
+#[derive(Debug, Clone)]
+pub struct Versioned<T> {
+    /// The record.
+    pub record: T,
+    /// Version of its key.
+    pub version: u64,
+}
+
+/// What a change of the mirror means to its node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Seen {
+    /// A job appeared.
+    Job(String),
+    /// A job is no longer unfinished.
+    JobGone(String),
+    /// The leader key went away.
+    LeaderGone,
+    /// The machine types changed.
+    Catalogue,
+}
+
+/// The mirror of the store at one revision.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    /// Revision up to which changes are in; 0: not loaded.
+    pub revision: u64,
+    /// Unfinished jobs.
+    pub live: HashMap<String, Versioned<LiveRecord>>,
+    /// Cancelled jobs of which tasks may still be somewhere.
+    pub stopping: HashMap<String, Versioned<LiveRecord>>,
+    /// Finished tasks by job and chunk.
+    pub done: BTreeMap<(String, u32), Versioned<Vec<u8>>>,
+    /// Hires.
+    pub hires: HashMap<String, Versioned<HireRecord>>,
+    /// Leader.
+    pub leader: Option<Versioned<LeaderRecord>>,
+    /// Epoch.
+    pub epoch: Option<Versioned<EpochRecord>>,
+    /// Machine types.
+    pub catalogue: Option<Versioned<Vec<MachineType>>>,
+    over: HashMap<String, OverRecord>,
+    over_order: VecDeque<String>,
+}
+
+fn record<T: DeserializeOwned>(value: &Value) -> Option<T> {
+    value.deserialized().ok()
+}
+
+/// Bits as text: the store takes nothing binary.
+pub fn bits_to_text(bits: &[u8]) -> String {
+    bits.iter().fold(String::with_capacity(bits.len() * 2), |mut s, b| {
+        for n in [b >> 4, b & 15] {
+            s.push(char::from_digit(n as u32, 16).unwrap_or('0'));
+        }
+        s
+    })
+}
+
+fn text_to_bits(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u8>> = text.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
+    let digits = digits?;
+    (digits.len() % 2 == 0 && digits.len() <= CHUNK as usize / 4)
+        .then(|| digits.chunks(2).map(|p| p[0] << 4 | p[1]).collect())
+}
+
+impl Mirror {
+    /// Takes in one key read in a listing or a watch; older versions than the known one are ignored.
+    pub fn put(&mut self, key: &str, value: &Value, version: u64, seen: &mut Vec<Seen>) {
+        fn newer<T>(old: Option<&Versioned<T>>, version: u64) -> bool {
+            old.is_none_or(|o| o.version < version)
+        }
+        let Some(rest) = key.strip_prefix(ROOT) else { return };
+        let (family, name) = rest.split_once('/').unwrap_or((rest, ""));
+        let known = match family {
+            "live" => record::<LiveRecord>(value).map(|record| {
+                if newer(self.live.get(name), version) {
+                    self.live.insert(name.to_string(), Versioned { record, version });
+                    seen.push(Seen::Job(name.to_string()));
+                }
+            }),
+            "stopping" => record::<LiveRecord>(value).map(|record| {
+                if newer(self.stopping.get(name), version) {
+                    self.stopping.insert(name.to_string(), Versioned { record, version });
+                }
+            }),
+            "over" => record::<OverRecord>(value).map(|r| self.remember_over(name, r)),
+            "done" => name.split_once('/').and_then(|(job, chunk)| {
+                let chunk: u32 = chunk.parse().ok()?;
+                let at = (job.to_string(), chunk);
+                let bits = text_to_bits(&record::<String>(value)?)?;
+                if newer(self.done.get(&at), version) {
+                    self.done.insert(at, Versioned { record: bits, version });
+                }
+                Some(())
+            }),
+            "hire" => record::<HireRecord>(value).map(|record| {
+                if newer(self.hires.get(name), version) {
+                    self.hires.insert(name.to_string(), Versioned { record, version });
+                }
+            }),
+            "leader" => record::<LeaderRecord>(value).map(|record| {
+                if newer(self.leader.as_ref(), version) {
+                    self.leader = Some(Versioned { record, version });
+                }
+            }),
+            "epoch" => record::<EpochRecord>(value).map(|record| {
+                if newer(self.epoch.as_ref(), version) {
+                    self.epoch = Some(Versioned { record, version });
+                }
+            }),
+            "catalogue" => record::<Vec<MachineType>>(value).map(|record| {
+                if newer(self.catalogue.as_ref(), version) {
+                    self.catalogue = Some(Versioned { record, version });
+                    seen.push(Seen::Catalogue);
+                }
+            }),
+            _ => None,
+        };
+        if known.is_none() {
+            tracing::error!(key, "record not understood, left alone");
+        }
+    }
+
+    fn delete(&mut self, key: &str, version: u64, seen: &mut Vec<Seen>) {
+        let Some(rest) = key.strip_prefix(ROOT) else { return };
+        let (family, name) = rest.split_once('/').unwrap_or((rest, ""));
+        match family {
+            "live" if self.live.get(name).is_some_and(|v| v.version < version) => {
+                self.live.remove(name);
+                seen.push(Seen::JobGone(name.to_string()));
+            }
+            "stopping" if self.stopping.get(name).is_some_and(|v| v.version < version) => {
+                self.stopping.remove(name);
+            }
+            "done" => {
+                if let Some((job, chunk)) = name.split_once('/') {
+                    let at = (job.to_string(), chunk.parse().unwrap_or(u32::MAX));
+                    if self.done.get(&at).is_some_and(|v| v.version < version) {
+                        self.done.remove(&at);
+                    }
+                }
+            }
+            "hire" if self.hires.get(name).is_some_and(|v| v.version < version) => {
+                self.hires.remove(name);
+            }
+            "leader" if self.leader.as_ref().is_some_and(|v| v.version < version) => {
+                self.leader = None;
+                seen.push(Seen::LeaderGone);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in the changes of a watch.
+    pub fn apply(&mut self, revision: u64, events: &[Event]) -> Vec<Seen> {
+        let mut seen = Vec::new();
+        for event in events {
+            match event {
+                Event::Put { put, value, version } => self.put(put, value, *version, &mut seen),
+                Event::Delete { key, version } => self.delete(key, *version, &mut seen),
+            }
+        }
+        self.revision = self.revision.max(revision);
+        seen
+    }
+
+    /// Remembers a final state. Final states never change, so the memory may be forgetful but never wrong.
+    pub fn remember_over(&mut self, job: &str, record: OverRecord) {
+        if self.over.insert(job.to_string(), record).is_none() {
+            self.over_order.push_back(job.to_string());
+            if self.over_order.len() > OVER_CACHE {
+                if let Some(old) = self.over_order.pop_front() {
+                    self.over.remove(&old);
+                }
+            }
+        }
+    }
+
+    /// A final state, if it is remembered.
+    pub fn over(&self, job: &str) -> Option<OverRecord> {
+        self.over.get(job).copied()
+    }
+
+    /// Replaces the mirror by a fresh one, telling what differs.
+    pub fn replace(&mut self, mut fresh: Mirror) -> Vec<Seen> {
+        let mut seen = Vec::new();
+        for job in self.live.keys().filter(|j| !fresh.live.contains_key(*j)) {
+            seen.push(Seen::JobGone(job.clone()));
+        }
+        for job in fresh.live.keys().filter(|j| !self.live.contains_key(*j)) {
+            seen.push(Seen::Job(job.clone()));
+        }
+        if self.leader.is_some() && fresh.leader.is_none() {
+            seen.push(Seen::LeaderGone);
+        }
+        seen.push(Seen::Catalogue);
+        for job in std::mem::take(&mut self.over_order) {
+            if let Some(r) = self.over.remove(&job) {
+                fresh.remember_over(&job, r);
+            }
+        }
+        *self = fresh;
+        seen
+    }
+}
+
+/// A guard.
+pub fn guard(key: String, version: u64) -> Guard {
+    Guard { key, version }
+}
+
+/// A put of a record.
+pub fn put<T: Serialize>(key: String, record: &T, hold: Option<u64>) -> Change {
+    // The records of this module are plain maps; `Null` would be refused by every reader above.
+    Change::Put { put: key, value: Value::serialized(record).unwrap_or(Value::Null), hold }
+}
+
+/// How a call to the state service can end without an answer to rely on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// Over the rate; surely not executed (429).
+    #[error("busy")]
+    Busy,
+    /// Refused and surely not executed (503).
+    #[error("refused")]
+    Refused,
+    /// No answer: executed, or to be executed later, or not at all.
+    #[error("no answer")]
+    Unknown,
+    /// The thing asked for does not exist or no longer does (404, 410, no such lease).
+    #[error("gone")]
+    Gone,
+}
+
+/// The outcome of a transaction that was decided.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decided {
+    /// Applied at this revision.
+    Applied(u64),
+    /// Conditions failed, for these keys.
+    Failed(Vec<String>),
+}
+
+/// The state service's client.
+#[derive(Clone)]
+pub struct StoreClient {
+    http: awc::Client,
+    base: String,
+}
+
+/// Time allowed for an ordinary call.
+const CALL: Duration = Duration::from_millis(1500);
+const ANSWER_LIMIT: usize = 16 << 20;
+
+impl StoreClient {
+    /// A client of the service at `addr`.
+    pub fn new(http: awc::Client, addr: SocketAddr) -> Self {
+        StoreClient { http, base: format!("http://{addr}") }
+    }
+
+    async fn call(
+        &self,
+        method: awc::http::Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        within: Duration,
+    ) -> Result<(u16, Vec<u8>), StoreError> {
+        let answer =
+            crate::worker::exchange(&self.http, method, &format!("{}{path}", self.base), body, within, ANSWER_LIMIT)
+                .await
+                .ok_or(StoreError::Unknown)?;
+        match answer.0 {
+            429 => Err(StoreError::Busy),
+            503 => Err(StoreError::Refused),
+            404 | 410 => Err(StoreError::Gone),
+            _ => Ok(answer),
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(&self, path: &str, within: Duration) -> Result<T, StoreError> {
+        let (status, body) = self.call(awc::http::Method::GET, path, None, within).await?;
+        if status != 200 {
+            return Err(StoreError::Unknown);
+        }
+        wire::decode(&body).ok_or(StoreError::Unknown)
+    }
+
+    async fn post(&self, path: &str, body: Vec<u8>, within: Duration) -> Result<(u16, Vec<u8>), StoreError> {
+        self.call(awc::http::Method::POST, path, Some(body), within).await
+    }
+
+    /// Reads a key; `Gone` if it does not exist.
+    pub async fn get<T: DeserializeOwned>(&self, key: &str) -> Result<Versioned<T>, StoreError> {
+        let item: Item = self.read(&format!("/keys/{key}"), CALL).await?;
+        let record = record(&item.value).ok_or(StoreError::Unknown)?;
+        Ok(Versioned { record, version: item.version })
+    }
+
+    /// Runs a transaction.
+    pub async fn txn(&self, txn: &Txn) -> Result<Decided, StoreError> {
+        let (status, body) = self.post("/multi", wire::encode(txn), CALL).await?;
+        let reply = wire::decode::<wire::TxnReply>(&body);
+        match (status, reply) {
+            (200, Some(r)) => Ok(Decided::Applied(r.revision)),
+            (409, Some(r)) => Ok(Decided::Failed(r.failed)),
+            (400, _) => Err(StoreError::Gone),
+            _ => Err(StoreError::Unknown),
+        }
+    }
+
+    /// Runs a compare-only transaction for the revision it tells, whatever it finds.
+    pub async fn barrier(&self, txn: &Txn) -> Result<u64, StoreError> {
+        let (status, body) = self.post("/multi", wire::encode(txn), CALL).await?;
+        match (status, wire::decode::<wire::TxnReply>(&body)) {
+            (200 | 409, Some(r)) => Ok(r.revision),
+            _ => Err(StoreError::Unknown),
+        }
+    }
+
+    /// Opens a hold.
+    pub async fn open_hold(&self, ttl_ms: u64) -> Result<u64, StoreError> {
+        let (status, body) = self.post("/holds", wire::encode(&wire::HoldRequest { ttl_ms }), CALL).await?;
+        match (status, wire::decode::<wire::HoldReply>(&body)) {
+            (200, Some(r)) => Ok(r.hold),
+            _ => Err(StoreError::Unknown),
+        }
+    }
+
+    /// Renews a hold.
+    pub async fn renew(&self, hold: u64, within: Duration) -> Result<(), StoreError> {
+        match self.post(&format!("/holds/{hold}/extend"), Vec::new(), within).await?.0 {
+            200 => Ok(()),
+            _ => Err(StoreError::Unknown),
+        }
+    }
+
+    /// Gives a hold up.
+    pub async fn close_hold(&self, hold: u64) {
+        let _ = self.call(awc::http::Method::DELETE, &format!("/holds/{hold}"), None, CALL).await;
+    }
+
+    /// Waits for changes after a revision.
+    pub async fn watch(&self, after: u64, hold_ms: u64) -> Result<wire::Watched, StoreError> {
+        let path = format!("/watch?starts={ROOT}&after={after}&holdMs={hold_ms}");
+        self.read(&path, Duration::from_millis(hold_ms) + CALL).await
+    }
+
+    /// Reads everything that a mirror holds; final states are read only when asked for.
+    pub async fn load(&self) -> Result<Mirror, StoreError> {
+        let mut mirror = Mirror::default();
+        let mut first = None;
+        let mut seen = Vec::new();
+        for family in ["catalogue", "done/", "epoch", "hire/", "leader", "live/", "stopping/"] {
+            let mut after = String::new();
+            loop {
+                let path = format!("/keys?starts={ROOT}{family}&after={after}&limit=200");
+                let page: wire::Page = self.read(&path, CALL * 2).await?;
+                // Changes between the pages are seen by the watch, which begins at the first page's revision.
+                first.get_or_insert(page.revision);
+                for item in &page.items {
+                    mirror.put(&item.key, &item.value, item.version, &mut seen);
+                }
+                match page.items.last() {
+                    Some(last) if page.more => after = last.key.clone(),
+                    _ => break,
+                }
+            }
+        }
+        mirror.revision = first.unwrap_or(0);
+        Ok(mirror)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn live(id: &str, version: u64) -> Event {
+        let record = LiveRecord { spec: crate::part::tests::spec(id, 1), at_ms: 5 };
+        Event::Put { put: live_key(id), value: Value::serialized(&record).unwrap(), version }
+    }
+
+    #[test]
+    fn a_late_page_never_undoes_a_newer_change() {
+        let mut m = Mirror::default();
+        assert_eq!(m.apply(4, &[live("wk-1", 4)]), vec![Seen::Job("wk-1".into())]);
+        // A delete older than the version at hand belongs to an earlier life of the key.
+        assert!(m.apply(4, &[Event::Delete { key: live_key("wk-1"), version: 3 }]).is_empty());
+        let gone = m.apply(6, &[Event::Delete { key: live_key("wk-1"), version: 6 }]);
+        assert_eq!(gone, vec![Seen::JobGone("wk-1".into())]);
+        assert_eq!(m.revision, 6);
+    }
+
+    #[test]
+    fn a_reload_tells_what_was_missed_and_keeps_final_states() {
+        let mut m = Mirror::default();
+        m.apply(4, &[live("wk-1", 3), live("wk-2", 4)]);
+        m.remember_over("wk-9", OverRecord { cancelled: true, tasks: 1 });
+        let mut fresh = Mirror::default();
+        fresh.apply(9, &[live("wk-2", 4), live("wk-3", 8)]);
+        let mut seen = m.replace(fresh);
+        seen.sort_by_key(|s| format!("{s:?}"));
+        assert_eq!(seen, vec![Seen::Catalogue, Seen::Job("wk-3".into()), Seen::JobGone("wk-1".into())]);
+        assert!(m.over("wk-9").unwrap().cancelled);
+    }
+
+    #[test]
+    fn bits_survive_as_text() {
+        let bits = vec![0, 255, 16, 7];
+        assert_eq!(text_to_bits(&bits_to_text(&bits)).unwrap(), bits);
+        assert!(text_to_bits("zz").is_none());
+    }
+}
--- /dev/null
+++ b/src/worker.rs
@@ -0,0 +1,46 @@
+//! HTTP calls out of this process: the one exchange that every client uses, and direct orders to workers.
+
+use crate::part::Direct;
+use crate::protocol::{decode, encode, DirectOrders, Report};
+use std::time::Duration;
+
+/// The client all calls go through; every call sets its own time limit.
+pub fn http_client(connections: usize) -> awc::Client {
+    let connector = awc::Connector::new()
+        .limit(connections)
+        .conn_keep_alive(Duration::from_secs(20))
+        .timeout(Duration::from_millis(1500));
+    awc::Client::builder().connector(connector).disable_timeout().finish()
+}
+
+/// One request and its answer, or none within the time.
+pub async fn exchange(
+    http: &awc::Client,
+    method: awc::http::Method,
+    url: &str,
+    body: Option<Vec<u8>>,
+    within: Duration,
+    limit: usize,
+) -> Option<(u16, Vec<u8>)> {
+    let call = async {
+        let request = http.request(method, url).insert_header(("content-type", "application/cbor"));
+        let sent = match body {
+            Some(body) => request.send_body(body),
+            None => request.send(),
+        };
+        let mut answer = sent.await.ok()?;
+        let bytes = answer.body().limit(limit).await.ok()?;
+        Some((answer.status().as_u16(), bytes.to_vec()))
+    };
+    tokio::time::timeout(within, call).await.ok()?
+}
+
+/// Sends direct orders. The report after them, or none if it is unknown whether they were or will be executed.
+pub async fn send_direct(http: &awc::Client, d: &Direct) -> Option<Report> {
+    let body = encode(&DirectOrders { token: d.token, session: d.session, orders: d.orders.clone() });
+    let url = format!("http://{}/orders", d.address);
+    let within = Duration::from_secs(2);
+    let (status, body) = exchange(http, awc::http::Method::POST, &url, Some(body), within, 8 << 20).await?;
+    let report: Report = if matches!(status, 200 | 409) { decode(&body)? } else { return None };
+    (report.machine == d.machine).then_some(report)
+}
