--- a/src/api.rs
+++ b/src/api.rs
@@ -1,7 +1,7 @@
 //! The doors: users, workers, health checks and the other controllers.
 
 use crate::limiter::Limiter;
-use crate::node::{Abort, Answer, Health, Node, Poll, PeerView, Submit, WorkerAnswer, WorkerReport};
+use crate::node::{Abort, Answer, Health, Node, PeerView, Poll, Submit, WorkerAnswer, WorkerReport};
 use crate::peer;
 use crate::protocol::{self as wire, decode, encode, JobSpec, Report, BODY_LIMIT};
 use actix::Addr;
@@ -31,10 +31,8 @@
 
 fn later(status: u16, error: &str) -> HttpResponse {
     let mut r = plain(status, error);
-    r.headers_mut().insert(
-        actix_web::http::header::RETRY_AFTER,
-        actix_web::http::header::HeaderValue::from_static(RETRY_S),
-    );
+    r.headers_mut()
+        .insert(actix_web::http::header::RETRY_AFTER, actix_web::http::header::HeaderValue::from_static(RETRY_S));
     r
 }
 
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -54,7 +54,9 @@
     /// Rents machines under a request name.
     pub async fn rent(&self, r: &RentRequest) -> Rented {
         match self.call(Method::POST, "/machines", Some(encode(r))).await {
-            Some((200, body)) => decode::<MachineNames>(&body).map_or(Rented::Unknown, |m| Rented::Machines(m.machines)),
+            Some((200, body)) => {
+                decode::<MachineNames>(&body).map_or(Rented::Unknown, |m| Rented::Machines(m.machines))
+            }
             Some((503, body)) if String::from_utf8_lossy(&body).contains("capacity") => Rented::NoCapacity,
             Some((400 | 429 | 503, _)) => Rented::Refused,
             _ => Rented::Unknown,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -61,7 +61,8 @@
                     && need.zones.as_ref().is_none_or(|l| l.contains(z))
             };
             let fits = |room: &[u64; 3]| {
-                (0..3).map(|i| room[i].checked_div(need.need[i]).unwrap_or(u64::MAX)).min().unwrap_or(0).min(1 << 20) as u32
+                (0..3).map(|i| room[i].checked_div(need.need[i]).unwrap_or(u64::MAX)).min().unwrap_or(0).min(1 << 20)
+                    as u32
             };
             for (_, room) in wished.iter_mut().filter(|(o, _)| allowed(o)) {
                 let n = fits(room).min(left);
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,8 +6,12 @@
 use crate::leader::{Leadership, Right, Role, Turn};
 use crate::part::{MachineState, Params, Part, Taken};
 use crate::peer::{self, View};
-use crate::protocol::{self as wire, JobSpec, JobState, JobView, Kind, MachineType, RentRequest, Report, ReportReply, Txn};
-use crate::store::{self, guard, put, Decided, HireRecord, LeaderRecord, LiveRecord, Mirror, OverRecord, Seen, StoreClient, StoreError};
+use crate::protocol::{
+    self as wire, JobSpec, JobState, JobView, Kind, MachineType, RentRequest, Report, ReportReply, Txn,
+};
+use crate::store::{
+    self, guard, put, Decided, HireRecord, LeaderRecord, LiveRecord, Mirror, OverRecord, Seen, StoreClient, StoreError,
+};
 use crate::worker;
 use actix::prelude::*;
 use rand::Rng;
@@ -218,7 +222,7 @@
     fn healthy(&self) -> bool {
         let now = self.now();
         let other_ok = self.peers_ok.values().any(|(at, ok)| *ok && now < at + 3000);
-        self.mirror.revision > 0 && !self.types.is_empty() && (self.state_ok() || !other_ok)
+        self.mirror.loaded && !self.types.is_empty() && (self.state_ok() || !other_ok)
     }
 
     fn report(&mut self, r: &Report) -> WorkerAnswer {
@@ -449,7 +453,7 @@
         }
         let (known, ready, never, at_ms) = {
             let core = self.core.borrow();
-            let ready = core.mirror.revision > 0 && !core.types.is_empty();
+            let ready = core.mirror.loaded && !core.types.is_empty();
             (core.mirror.live.contains_key(&id), ready, core.impossible(&spec), core.wall())
         };
         if !known {
@@ -538,7 +542,7 @@
             let (reign, sent, free) = {
                 let core = self.core.borrow();
                 let now = core.now();
-                let free = core.mirror.revision > 0 && core.mirror.leader.is_none() && now >= core.no_campaign_until;
+                let free = core.mirror.loaded && core.mirror.leader.is_none() && now >= core.no_campaign_until;
                 (core.reign(), now, free)
             };
             if let Some((_, _, hold)) = reign {
@@ -683,10 +687,7 @@
             let over = OverRecord { cancelled: false, tasks };
             let txn = Txn {
                 guards: vec![epoch.clone(), guard(store::live_key(&id), version), guard(store::over_key(&id), 0)],
-                apply: vec![
-                    wire::Change::Delete { key: store::live_key(&id) },
-                    put(store::over_key(&id), &over, None),
-                ],
+                apply: vec![wire::Change::Delete { key: store::live_key(&id) }, put(store::over_key(&id), &over, None)],
             };
             // If it failed, the job was cancelled, or an unanswered try went through: the watch tells.
             if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
@@ -856,7 +857,9 @@
             let core = self.core.borrow();
             let Some((_, epoch, _)) = core.reign() else { return };
             let old = core.mirror.catalogue.as_ref();
-            let shape = |l: &[MachineType]| l.iter().map(|t| (t.name.clone(), t.cpus as u64, t.zones.clone())).collect::<Vec<_>>();
+            let shape = |l: &[MachineType]| {
+                l.iter().map(|t| (t.name.clone(), t.cpus as u64, t.zones.clone())).collect::<Vec<_>>()
+            };
             let same = old.is_some_and(|c| shape(&c.record) == shape(&types));
             let version = old.map_or(0, |c| c.version);
             (vec![guard(store::epoch_key(), epoch), guard(store::catalogue_key(), version)], same)
@@ -945,7 +948,14 @@
                 continue;
             }
             let name = format!("found-{machine}");
-            let record = HireRecord { machine_type, zone, spot, count: 1, machines: Some(vec![machine.clone()]), up: Vec::new() };
+            let record = HireRecord {
+                machine_type,
+                zone,
+                spot,
+                count: 1,
+                machines: Some(vec![machine.clone()]),
+                up: Vec::new(),
+            };
             let key = store::hire_key(&name);
             let guards = vec![guard(store::epoch_key(), epoch), guard(key.clone(), 0)];
             if let Ok(Decided::Applied(_)) = self.txn(&Txn { guards, apply: vec![put(key, &record, None)] }).await {
@@ -1113,7 +1123,8 @@
     fn new(settings: Settings) -> Node {
         let connections = (settings.platform.deployment.machine_limits.max_connections / 8).clamp(8, 100);
         let http = worker::http_client(connections);
-        let me = LeaderRecord { node: settings.platform.node.clone(), incarnation: rand::thread_rng().gen::<u64>() >> 1 };
+        let me =
+            LeaderRecord { node: settings.platform.node.clone(), incarnation: rand::thread_rng().gen::<u64>() >> 1 };
         let ttl = (settings.operator.hold_s * 1000.0) as u64;
         let external = settings.platform.external.clone();
         let core = Core {
--- a/src/part.rs
+++ b/src/part.rs
@@ -530,7 +530,10 @@
             image: self.images.add(&spec.image),
             class: placement::class_of(need, typical),
             need,
-            types: spec.types.as_ref().map(|l| l.iter().map(|t| self.type_names.get(t).unwrap_or(usize::MAX)).collect()),
+            types: spec
+                .types
+                .as_ref()
+                .map(|l| l.iter().map(|t| self.type_names.get(t).unwrap_or(usize::MAX)).collect()),
             zone: spec.zone.as_ref().map(|z| self.zones.add(z)),
             // A job accepted after this epoch's record cannot have been seen by an earlier leader with a right to
             // start: that right ended with the hold whose end made room for this epoch.
@@ -587,9 +590,7 @@
     pub fn stopped_jobs(&mut self) -> Vec<String> {
         let unsettled = self.unsettled() > 0;
         let over: Vec<usize> = (0..self.jobs.len())
-            .filter(|&i| {
-                self.jobs[i].as_ref().is_some_and(|j| j.ended && j.active.is_empty() && !(j.old && unsettled))
-            })
+            .filter(|&i| self.jobs[i].as_ref().is_some_and(|j| j.ended && j.active.is_empty() && !(j.old && unsettled)))
             .collect();
         over.into_iter()
             .filter_map(|i| {
@@ -891,7 +892,8 @@
                 });
                 continue;
             };
-            let here = |p: &Self| p.job(j).active.get(&t).copied().filter(|a| a.machine == i && a.attempt == line.attempt);
+            let here =
+                |p: &Self| p.job(j).active.get(&t).copied().filter(|a| a.machine == i && a.attempt == line.attempt);
             if line.state == TaskState::Exited {
                 if here(self).is_some_and(|a| a.phase == Phase::Assigned) {
                     continue;
@@ -1327,9 +1329,11 @@
             }
         }
         let mut team_left: Vec<[u64; 2]> = (0..self.p.teams.len())
-            .map(|t| std::array::from_fn(|r| {
-                self.p.teams[t].limit[r].saturating_sub(self.team_use[t][r].saturating_add(self.team_maybe[t][r]))
-            }))
+            .map(|t| {
+                std::array::from_fn(|r| {
+                    self.p.teams[t].limit[r].saturating_sub(self.team_use[t][r].saturating_add(self.team_maybe[t][r]))
+                })
+            })
             .collect();
         let mut needs = Vec::new();
         for j in self.queue() {
@@ -1346,7 +1350,8 @@
             team_left[team] = std::array::from_fn(|r| team_left[team][r].saturating_sub(job.need[r] * taken));
             let mut zones: HashMap<usize, u32> = HashMap::new();
             for pool in [&mut room, &mut coming] {
-                let mut keys: Vec<usize> = pool.keys().copied().filter(|i| self.may_host(job, self.machine(*i))).collect();
+                let mut keys: Vec<usize> =
+                    pool.keys().copied().filter(|i| self.may_host(job, self.machine(*i))).collect();
                 keys.sort_by_key(|i| (!self.machine(*i).spot, *i));
                 for i in keys {
                     let zone = self.machine(i).zone;
--- a/src/store.rs
+++ b/src/store.rs
@@ -128,7 +128,9 @@
 /// The mirror of the store at one revision.
 #[derive(Debug, Default)]
 pub struct Mirror {
-    /// Revision up to which changes are in; 0: not loaded.
+    /// Whether the store has been read.
+    pub loaded: bool,
+    /// Revision up to which changes are in; an empty store has 0.
     pub revision: u64,
     /// Unfinished jobs.
     pub live: HashMap<String, Versioned<LiveRecord>>,
@@ -473,6 +475,7 @@
             }
         }
         mirror.revision = first.unwrap_or(0);
+        mirror.loaded = true;
         Ok(mirror)
     }
 }
