--- a/src/node.rs
+++ b/src/node.rs
@@ -359,10 +359,11 @@
             match self.noted(self.store.watch(after, 4000).await) {
                 Ok(w) => {
                     let quiet = w.events.is_empty();
-                    let mut core = self.core.borrow_mut();
-                    let seen = core.mirror.apply(w.revision, &w.events);
-                    core.seen(seen, &self.campaign);
-                    drop(core);
+                    {
+                        let mut core = self.core.borrow_mut();
+                        let seen = core.mirror.apply(w.revision, &w.events);
+                        core.seen(seen, &self.campaign);
+                    }
                     self.revision.send_replace(w.revision);
                     if !quiet {
                         pause(pace).await;
@@ -741,7 +742,7 @@
                 let Some(machines) = &h.record.machines else { continue };
                 let gone = machines.iter().any(|m| core.gone.contains(m)) || machines.is_empty();
                 let new: Vec<_> = fresh.iter().filter(|(m, hire)| hire == name && machines.contains(m)).collect();
-                if !(gone || !new.is_empty()) || txn.apply.len() >= ops {
+                if (!gone && new.is_empty()) || txn.apply.len() >= ops {
                     continue;
                 }
                 let mut record = h.record.clone();
--- a/src/part.rs
+++ b/src/part.rs
@@ -1455,7 +1455,7 @@
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
-    use crate::protocol::{JobSpec, TaskReport};
+    use crate::protocol::JobSpec;
 
     pub fn spec(id: &str, tasks: u32) -> JobSpec {
         JobSpec {
