--- a/src/part.rs
+++ b/src/part.rs
@@ -378,6 +378,8 @@
     attempts: u64,
     dirty: BTreeSet<(usize, u32)>,
     fetch_rate: HashMap<usize, f64>,
+    /// In one pass of placing: places on full holders that tasks wait for.
+    waited: HashMap<usize, u32>,
     changed: bool,
 }
 
@@ -404,6 +406,7 @@
             attempts: 0,
             dirty: BTreeSet::new(),
             fetch_rate: HashMap::new(),
+            waited: HashMap::new(),
             changed: true,
         }
     }
@@ -954,6 +957,12 @@
                 *rate += 0.1 * (size / took - *rate);
             }
         }
+        if a.phase != phase {
+            let (job, machine) = (self.job(j), self.machine(i));
+            let age_ms = self.now.saturating_sub(job.submitted);
+            let held = machine.images.contains(&image);
+            tracing::info!(job = %job.record.spec.id, task = t, machine = %machine.name, ?phase, held, age_ms, "task");
+        }
         self.hold_image(i, image);
         self.step(j, t, Step::Show(phase));
     }
@@ -1060,6 +1069,8 @@
             let Some(a) = self.job(j).active.get(&t).copied() else { continue };
             if a.phase == Phase::Assigned {
                 let task = format!("{}/{t}", self.job(j).record.spec.id);
+                let (machine, epoch) = (&self.machine(i).name, self.epoch);
+                tracing::info!(job = %self.job(j).record.spec.id, task = t, %machine, epoch, direct, "start");
                 orders.push(Order::Start { task, attempt: a.attempt });
                 self.step(j, t, Step::Send { direct });
             }
@@ -1216,6 +1227,7 @@
             return;
         }
         let unsettled = self.unsettled() > 0;
+        self.waited.clear();
         for j in self.queue() {
             if unsettled && self.job(j).old {
                 continue;
@@ -1240,23 +1252,24 @@
                 let spare: u64 = m.room[0];
                 // Spot machines first where allowed, then the fullest, so that others can be returned.
                 let order = ((!m.spot as u64) << 40) + ((job.failed_on.contains(&i) as u64) << 41) + spare;
-                let wait_s = if room > 0 { 0.0 } else { self.wait_s(m, job) };
-                Candidate { machine: i, c: m.c.get(job.class).unwrap_or(mean), holder, room, wait_s, order }
+                let ends_s = if room == 0 && holder { self.ends_s(i, m, job) } else { Vec::new() };
+                Candidate { machine: i, c: m.c.get(job.class).unwrap_or(mean), holder, room, ends_s, order }
             })
             .collect()
     }
 
-    /// When a task of the machine's is expected to end, so that one more fits.
-    fn wait_s(&self, m: &Machine, job: &Job) -> f64 {
+    /// When a machine's tasks are expected to end, less what others wait for already.
+    fn ends_s(&self, i: usize, m: &Machine, job: &Job) -> Vec<f64> {
         let c = m.c.get(job.class).unwrap_or(1.0);
-        let mut soonest = f64::INFINITY;
-        for (j, t) in &m.tasks {
-            let Some(other) = self.jobs[*j].as_ref() else { continue };
-            let Some(a) = other.active.get(t) else { continue };
+        let rest = m.tasks.iter().filter_map(|(j, t)| {
+            let other = self.jobs[*j].as_ref()?;
+            let a = other.active.get(t)?;
             let spent = if a.phase == Phase::Running { self.now.saturating_sub(a.since) } else { 0 } as f64 / 1000.0;
-            soonest = soonest.min((other.time_s() / c - spent).max(1.0));
-        }
-        soonest
+            (other.record.spec.kind == Kind::Array).then(|| (other.time_s() / c - spent).max(1.0))
+        });
+        let mut ends: Vec<f64> = rest.collect();
+        ends.sort_by(f64::total_cmp);
+        ends.split_off(ends.len().min(self.waited.get(&i).copied().unwrap_or(0) as usize))
     }
 
     fn place_job(&mut self, j: usize) {
@@ -1290,7 +1303,10 @@
         // With a zone cap a machine may get less than planned; the plan then covers all machines.
         let capped = job.record.spec.scatter;
         let plan = placement::plan(candidates, if capped { Ask { tasks: u32::MAX, ..ask } } else { ask });
-        for (machine, n) in plan {
+        for (machine, n) in plan.later {
+            *self.waited.entry(machine).or_default() += n;
+        }
+        for (machine, n) in plan.now {
             let zone = self.machine(machine).zone;
             for _ in 0..n {
                 if left == 0 {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -40,8 +40,9 @@
     pub holder: bool,
     /// How many tasks fit now.
     pub room: u32,
-    /// How long until a task would fit.
-    pub wait_s: f64,
+    /// If it is a holder without room: when its tasks are expected to end, one after the other, each making room for
+    /// one more; what others wait for already is left out.
+    pub ends_s: Vec<f64>,
     /// Order among equals, lowest first.
     pub order: u64,
 }
@@ -61,12 +62,30 @@
     pub transfer_test: bool,
 }
 
+/// Where tasks go.
+#[derive(Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Machines, and how many tasks each gets now.
+    pub now: Vec<(usize, u32)>,
+    /// Holders, and how many tasks wait for each.
+    pub later: Vec<(usize, u32)>,
+}
+
 /// Spreads tasks over machines: groups from the fastest on, in each the holders first, then others whose time with the
-/// transfer beats waiting for a holder. Tasks that should wait are left out.
-pub fn plan(mut candidates: Vec<Candidate>, ask: Ask) -> Vec<(usize, u32)> {
+/// transfer beats waiting for a holder. A task that should wait for a holder takes the place that it waits for, so that
+/// the next one has to look further: without that, a whole queue would wait for one place while machines stand idle.
+pub fn plan(mut candidates: Vec<Candidate>, ask: Ask) -> Plan {
     candidates.sort_by(|a, b| b.c.total_cmp(&a.c));
+    // Places to wait for: expected completion there, and the machine; the soonest last.
+    let mut places: Vec<(f64, usize)> = Vec::new();
+    if ask.transfer_test {
+        for h in candidates.iter().filter(|h| h.holder && h.room == 0) {
+            places.extend(h.ends_s.iter().map(|end| (ask.time_s / h.c + end, h.machine)));
+        }
+        places.sort_by(|a, b| b.0.total_cmp(&a.0));
+    }
     let mut left = ask.tasks;
-    let mut out = Vec::new();
+    let mut out = Plan::default();
     let mut from = 0;
     while from < candidates.len() && left > 0 {
         let floor = candidates[from].c / ask.group_factor;
@@ -74,14 +93,20 @@
         let mut group: Vec<&Candidate> = candidates[from..to].iter().filter(|m| m.room > 0).collect();
         group.sort_by_key(|m| (!m.holder, m.order));
         for m in group {
-            if !m.holder && ask.transfer_test && !beats_holders(m, &candidates, ask) {
-                continue;
+            if !m.holder {
+                // Equation (5) of the paper with its sides named.
+                let here = ask.time_s / m.c + ask.transfer_s;
+                while left > 0 && places.last().is_some_and(|(there, _)| here >= *there) {
+                    if let Some((_, holder)) = places.pop() {
+                        out.later.push((holder, 1));
+                        left -= 1;
+                    }
+                }
             }
             let n = m.room.min(left);
-            out.push((m.machine, n));
-            left -= n;
-            if left == 0 {
-                break;
+            if n > 0 {
+                out.now.push((m.machine, n));
+                left -= n;
             }
         }
         from = to;
@@ -89,18 +114,12 @@
     out
 }
 
-/// Equation (5) of the paper with its sides named: the non-holder's time and transfer against waiting for a holder.
-fn beats_holders(m: &Candidate, all: &[Candidate], ask: Ask) -> bool {
-    let here = ask.time_s / m.c + ask.transfer_s;
-    all.iter().filter(|h| h.holder && h.room == 0).all(|h| here < ask.time_s / h.c + h.wait_s)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
 
-    fn m(machine: usize, c: f64, holder: bool, room: u32, wait_s: f64) -> Candidate {
-        Candidate { machine, c, holder, room, wait_s, order: machine as u64 }
+    fn m(machine: usize, c: f64, holder: bool, room: u32, ends_s: &[f64]) -> Candidate {
+        Candidate { machine, c, holder, room, ends_s: ends_s.to_vec(), order: machine as u64 }
     }
     fn ask(tasks: u32) -> Ask {
         Ask { tasks, time_s: 60.0, transfer_s: 20.0, group_factor: 1.25, transfer_test: true }
@@ -108,18 +127,23 @@
 
     #[test]
     fn fastest_group_first_and_holders_first_within_it() {
-        let all = vec![m(0, 0.5, true, 9, 0.0), m(1, 1.0, false, 2, 0.0), m(2, 0.95, true, 2, 0.0)];
-        assert_eq!(plan(all, ask(6)), vec![(2, 2), (1, 2), (0, 2)]);
+        let all = vec![m(0, 0.5, true, 9, &[]), m(1, 1.0, false, 2, &[]), m(2, 0.95, true, 2, &[])];
+        assert_eq!(plan(all, ask(6)).now, vec![(2, 2), (1, 2), (0, 2)]);
     }
 
     #[test]
     fn a_non_holder_runs_only_if_it_beats_waiting_for_a_holder() {
-        let soon = vec![m(0, 1.0, true, 0, 5.0), m(1, 1.0, false, 4, 0.0)];
-        assert!(plan(soon, ask(1)).is_empty());
-        let late = vec![m(0, 1.0, true, 0, 50.0), m(1, 1.0, false, 4, 0.0)];
-        assert_eq!(plan(late, ask(1)), vec![(1, 1)]);
-        let soon = vec![m(0, 1.0, true, 0, 5.0), m(1, 1.0, false, 4, 0.0)];
-        assert_eq!(plan(soon, Ask { transfer_test: false, ..ask(1) }), vec![(1, 1)]);
+        let with = |end: f64| vec![m(0, 1.0, true, 0, &[end]), m(1, 1.0, false, 4, &[])];
+        assert_eq!(plan(with(5.0), ask(1)), Plan { now: vec![], later: vec![(0, 1)] });
+        assert_eq!(plan(with(50.0), ask(1)).now, vec![(1, 1)]);
+        assert_eq!(plan(with(5.0), Ask { transfer_test: false, ..ask(1) }).now, vec![(1, 1)]);
+    }
+
+    #[test]
+    fn a_place_is_waited_for_once() {
+        // All of a queue once waited for the same place while other machines stood idle.
+        let all = vec![m(0, 1.0, true, 0, &[5.0, 70.0]), m(1, 1.0, false, 4, &[])];
+        assert_eq!(plan(all, ask(3)), Plan { now: vec![(1, 2)], later: vec![(0, 1)] });
     }
 
     #[test]
