Send stops straight to workers too, pack services together, act at once on events

Cause: room won by preemption waited for the next report, up to report_s, and replicas were spread by best fit over machines that could then not be returned.

--- a/src/node.rs
+++ b/src/node.rs
@@ -296,6 +296,8 @@
     revision: Rc<watch::Sender<u64>>,
     campaign: Rc<Notify>,
     reading: Rc<Notify>,
+    /// Something may have to be placed or sent at once.
+    urgent: Rc<Notify>,
 }
 
 fn pause(ms: u64) -> tokio::time::Sleep {
@@ -365,6 +367,7 @@
                         core.seen(seen, &self.campaign);
                     }
                     self.revision.send_replace(w.revision);
+                    self.urgent.notify_one();
                     if !quiet {
                         pause(pace).await;
                     }
@@ -624,7 +627,7 @@
 
     async fn ticks(self) {
         loop {
-            pause(100).await;
+            let _ = tokio::time::timeout(Duration::from_millis(100), self.urgent.notified()).await;
             let sends = {
                 let mut core = self.core.borrow_mut();
                 let now = core.now();
@@ -654,6 +657,7 @@
                         if let Some(part) = core.part.as_mut() {
                             part.at(now);
                             part.direct_answer(&d.machine, answer.as_ref());
+                            me.urgent.notify_one();
                         }
                     }
                 });
@@ -1156,6 +1160,7 @@
             revision: Rc::new(watch::channel(0).0),
             campaign: Rc::new(Notify::new()),
             reading: Rc::new(Notify::new()),
+            urgent: Rc::new(Notify::new()),
         };
         Node { shared }
     }
@@ -1207,6 +1212,7 @@
 impl Handler<WorkerReport> for Node {
     type Result = MessageResult<WorkerReport>;
     fn handle(&mut self, m: WorkerReport, _: &mut Self::Context) -> Self::Result {
+        self.shared.urgent.notify_one();
         MessageResult(self.shared.core.borrow_mut().report(&m.0))
     }
 }
--- a/src/part.rs
+++ b/src/part.rs
@@ -148,6 +148,8 @@
     phase: Phase,
     since: u64,
     direct: bool,
+    /// The stop was sent straight to the worker.
+    told: bool,
 }
 
 /// Everything that can happen to a task.
@@ -762,10 +764,10 @@
         let old = self.job(j).active.get(&t).copied();
         let next = match (step, old) {
             (Step::Assign { machine, attempt }, None) => {
-                Some(Active { machine, attempt, phase: Phase::Assigned, since: now, direct: false })
+                Some(Active { machine, attempt, phase: Phase::Assigned, since: now, direct: false, told: false })
             }
             (Step::Adopt { machine, attempt, phase }, None) => {
-                Some(Active { machine, attempt, phase, since: now, direct: false })
+                Some(Active { machine, attempt, phase, since: now, direct: false, told: false })
             }
             (Step::Send { direct }, Some(a)) if a.phase == Phase::Assigned => {
                 Some(Active { phase: Phase::Sent, since: now, direct, ..a })
@@ -781,7 +783,7 @@
             (Step::Stop { save }, Some(a)) => match a.phase {
                 Phase::Stopping { save: false } => return,
                 Phase::Stopping { save: true } if save => return,
-                _ => Some(Active { phase: Phase::Stopping { save }, since: now, ..a }),
+                _ => Some(Active { phase: Phase::Stopping { save }, since: now, told: false, ..a }),
             },
             (Step::Gone | Step::Finished, Some(_)) => None,
             _ => return,
@@ -1077,16 +1079,31 @@
         }
     }
 
+    /// Stops of a machine that were not sent yet. A late one does no harm: it names its attempt.
+    fn collect_stops(&mut self, i: usize, orders: &mut Vec<Order>) {
+        for (j, t) in self.machine(i).tasks.clone() {
+            let job = self.jobs[j].as_mut().expect("accounted tasks belong to a present job");
+            let Some(a) = job.active.get_mut(&t) else { continue };
+            if let (Phase::Stopping { save }, false) = (a.phase, a.told) {
+                a.told = true;
+                let grace_s = if save { job.record.spec.save_s } else { 0.0 };
+                let task = format!("{}/{t}", job.record.spec.id);
+                orders.push(Order::Stop { task, attempt: a.attempt, grace_s });
+            }
+        }
+    }
+
     /// Starts and stops to be sent straight to workers, at most one message a machine at a time.
     pub fn direct(&mut self, most: usize) -> Vec<Direct> {
         let mut out = Vec::new();
         for i in 0..self.machines.len() {
             let Some(m) = self.machines[i].as_ref() else { continue };
-            if out.len() >= most || !m.current || m.direct || m.state != MachineState::Up {
+            if out.len() >= most || !m.current || m.direct || m.state == MachineState::Releasing {
                 continue;
             }
             let mut orders = Vec::new();
             let (machine, address, token, session) = (m.name.clone(), m.address.clone(), self.token(m), m.last.0);
+            self.collect_stops(i, &mut orders);
             self.collect_starts(i, true, &mut orders);
             if !orders.is_empty() {
                 self.machine_mut(i).direct = true;
@@ -1249,8 +1266,9 @@
             .map(|(i, m)| {
                 let room = fits(&job.need, &m.room);
                 let holder = m.images.contains(&job.image);
-                let spare: u64 = m.room[0];
-                // Spot machines first where allowed, then the fullest, so that others can be returned.
+                // Spot machines first where allowed. Services go together, since only they keep a machine from being
+                // returned; other tasks fill the fullest machine.
+                let spare = if job.record.spec.kind == Kind::Service { self.without_services(m) } else { m.room[0] };
                 let order = ((!m.spot as u64) << 40) + ((job.failed_on.contains(&i) as u64) << 41) + spare;
                 let ends_s = if room == 0 && holder { self.ends_s(i, m, job) } else { Vec::new() };
                 Candidate { machine: i, c: m.c.get(job.class).unwrap_or(mean), holder, room, ends_s, order }
@@ -1258,6 +1276,13 @@
             .collect()
     }
 
+    /// CPUs of a machine that no service uses.
+    fn without_services(&self, m: &Machine) -> u64 {
+        let all = self.types.get(m.kind).map_or(0, |t| (t.cpus * 1000.0) as u64);
+        let services = m.tasks.iter().map(|(j, _)| self.job(*j)).filter(|j| j.record.spec.kind == Kind::Service);
+        all.saturating_sub(services.map(|j| j.need[0]).sum())
+    }
+
     /// When a machine's tasks are expected to end, less what others wait for already.
     fn ends_s(&self, i: usize, m: &Machine, job: &Job) -> Vec<f64> {
         let c = m.c.get(job.class).unwrap_or(1.0);
@@ -1424,7 +1449,9 @@
         let (need, priority, within, team) = (job.need, job.record.spec.priority, job.within, job.team);
         let mut won = 0;
         let mut hosts: Vec<usize> = room.keys().copied().filter(|i| self.may_host(job, self.machine(*i))).collect();
-        hosts.sort_unstable();
+        // Holders first, so that the room won is used at once.
+        let image = job.image;
+        hosts.sort_unstable_by_key(|i| (!self.machine(*i).images.contains(&image), *i));
         for i in hosts {
             let zone = self.machine(i).zone;
             let mut victims: Vec<(Priority, u64, usize, u32)> = Vec::new();
