Rent for every task at once

Cause: the fleet spread arrays over their time to the deadline and so left capacity unrented while jobs waited.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Which machines to rent and to return. Pure: needs and machines in, wishes out.
 
-use crate::part::{MachineState, Need, Part};
-use std::collections::HashMap;
+use crate::part::{Load, MachineState, Need, Part};
+use std::collections::{HashMap, VecDeque};
 
 /// An offer: machine type, zone, spot or not.
 pub type Offer = (usize, usize, bool);
@@ -25,8 +25,12 @@
 #[derive(Default)]
 pub struct Fleet {
     refused: HashMap<Offer, Backoff>,
+    /// Demand of late: time, all CPUs wanted, CPUs of services by zone.
+    demand: VecDeque<(u64, u64, HashMap<usize, u64>)>,
 }
 
+/// Room kept above the peak of late.
+const HEADROOM: f64 = 1.1;
 const FIRST_BACKOFF_MS: u64 = 8_000;
 const LAST_BACKOFF_MS: u64 = 60_000;
 
@@ -110,15 +114,53 @@
         out
     }
 
+    /// Takes the machine that costs most for what it does out of use, if the rest covers the peak of the last `window_ms`;
+    /// takes such machines back when there are needs.
+    pub fn surplus(&mut self, part: &mut Part, needs: &[Need], window_ms: u64, now: u64) {
+        let loads = part.loads();
+        let wanted = needs.iter().map(|n| n.need[0] * n.tasks as u64).sum::<u64>();
+        let mut services: HashMap<usize, u64> = HashMap::new();
+        loads.iter().for_each(|l| *services.entry(l.zone).or_default() += l.services);
+        self.demand.push_back((now, wanted + loads.iter().map(|l| l.used).sum::<u64>(), services));
+        while self.demand.front().is_some_and(|(at, ..)| now > at + window_ms) {
+            self.demand.pop_front();
+        }
+        if !needs.is_empty() {
+            part.use_surplus();
+            return;
+        }
+        part.move_replica();
+        let target = |x: u64| (x as f64 * HEADROOM) as u64;
+        let peak = target(self.demand.iter().map(|d| d.1).max().unwrap_or(0));
+        let zone_peak = |z: usize| target(self.demand.iter().filter_map(|d| d.2.get(&z).copied()).max().unwrap_or(0));
+        let all: u64 = loads.iter().map(|l| l.cpus).sum();
+        let steady = |z: usize| loads.iter().filter(|l| !l.spot && l.zone == z).map(|l| l.cpus).sum::<u64>();
+        let types = part.types();
+        let idle_price = |l: &Load| {
+            let t = &types[l.kind];
+            (if l.spot { t.spot_price } else { t.price }) * (1.0 - l.used as f64 / l.cpus.max(1) as f64)
+        };
+        let may_go = |l: &&Load| {
+            now > l.since + window_ms
+                && l.services * 4 <= l.cpus
+                && all - l.cpus >= peak
+                && (l.spot || steady(l.zone) - l.cpus >= zone_peak(l.zone))
+        };
+        let go = loads.iter().filter(may_go).max_by(|a, b| idle_price(a).total_cmp(&idle_price(b))).map(|l| l.machine);
+        if let Some(i) = go {
+            part.spare_machine(i);
+        }
+    }
+
     /// Moves machines that should go towards their release: stuck ones, drained ones, idle ones.
-    pub fn returns(&self, part: &mut Part, idle_ms: u64, busy: bool, now: u64) {
+    pub fn returns(&self, part: &mut Part, idle_ms: u64, now: u64) {
         let mut go = Vec::new();
         for (i, m) in part.machines() {
             let idle = m.idle_since.is_some_and(|s| now > s + idle_ms);
             match m.state {
                 MachineState::Waiting if part.overdue(m, 3.0) => go.push((i, "never came up")),
                 MachineState::Draining if m.idle_since.is_some() => go.push((i, "drained")),
-                MachineState::Up if idle && !busy => go.push((i, "idle")),
+                MachineState::Up if idle => go.push((i, "idle")),
                 _ => {}
             }
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -901,7 +901,9 @@
             return Vec::new();
         }
         let needs = part.look_ahead(true);
-        core.fleet.returns(part, idle_ms, false, now);
+        let boot_s = part.types().iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min).min(600.0);
+        core.fleet.surplus(part, &needs, idle_ms + (boot_s * 1000.0) as u64, now);
+        core.fleet.returns(part, idle_ms, now);
         core.fleet.wishes(part, &needs, now).into_iter().map(|w| (w.offer, w.count)).collect()
     }
 
--- a/src/part.rs
+++ b/src/part.rs
@@ -302,6 +302,29 @@
     errors: Vec<usize>,
     not_before: u64,
     direct: bool,
+    /// Draining only because there is more room than is needed.
+    surplus: bool,
+}
+
+/// How much of a machine is used, for the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Index.
+    pub machine: usize,
+    /// Type.
+    pub kind: usize,
+    /// Zone.
+    pub zone: usize,
+    /// Spot machine.
+    pub spot: bool,
+    /// Since when it is known.
+    pub since: u64,
+    /// All its CPUs.
+    pub cpus: u64,
+    /// CPUs in use.
+    pub used: u64,
+    /// CPUs in use by services.
+    pub services: u64,
 }
 
 /// Direct orders to be sent.
@@ -681,6 +704,7 @@
             errors: Vec::new(),
             not_before: 0,
             direct: false,
+            surplus: false,
         };
         self.machines.push(Some(machine));
         self.machine_index.insert(name.to_string(), self.machines.len() - 1);
@@ -1283,6 +1307,56 @@
         all.saturating_sub(services.map(|j| j.need[0]).sum())
     }
 
+    /// The machines that take tasks.
+    pub fn loads(&self) -> Vec<Load> {
+        let open = self.machines().filter(|(_, m)| m.state == MachineState::Up && m.notice_at.is_none());
+        open.map(|(machine, m)| {
+            let cpus = self.types.get(m.kind).map_or(0, |t| (t.cpus * 1000.0) as u64);
+            let services = cpus - self.without_services(m);
+            let (kind, zone, spot, since) = (m.kind, m.zone, m.spot, m.since);
+            Load { machine, kind, zone, spot, since, cpus, used: cpus.saturating_sub(m.room[0]), services }
+        })
+        .collect()
+    }
+
+    /// Takes a machine out of use because there is more room than is needed.
+    pub fn spare_machine(&mut self, i: usize) {
+        self.enter(i, MachineState::Draining, "surplus");
+        self.machine_mut(i).surplus = true;
+    }
+
+    /// Takes surplus machines back into use.
+    pub fn use_surplus(&mut self) {
+        for i in 0..self.machines.len() {
+            let back = |m: &Machine| m.surplus && m.state == MachineState::Draining && m.notice_at.is_none();
+            if self.machines[i].as_ref().is_some_and(back) {
+                self.enter(i, MachineState::Up, "needed again");
+                self.machine_mut(i).surplus = false;
+            }
+        }
+    }
+
+    /// Moves one replica off a surplus machine on which nothing else is left, if a holder has room for it.
+    pub fn move_replica(&mut self) {
+        for i in 0..self.machines.len() {
+            let Some(m) = self.machines[i].as_ref().filter(|m| m.surplus && m.state == MachineState::Draining) else {
+                continue;
+            };
+            let services = m.tasks.iter().all(|(j, _)| self.job(*j).record.spec.kind == Kind::Service);
+            let Some(&(j, t)) = m.tasks.iter().next().filter(|_| services) else { continue };
+            let job = self.job(j);
+            let free = |o: &Machine| {
+                let same_zone = o.zone == m.zone || !(job.record.spec.scatter || job.record.spec.together);
+                self.open(o) && self.may_host(job, o) && same_zone
+                    && o.images.contains(&job.image) && fits(&job.need, &o.room) > 0
+            };
+            if self.machines().any(|(_, o)| free(o)) {
+                self.step(j, t, Step::Stop { save: false });
+                return;
+            }
+        }
+    }
+
     /// When a machine's tasks are expected to end, less what others wait for already.
     fn ends_s(&self, i: usize, m: &Machine, job: &Job) -> Vec<f64> {
         let c = m.c.get(job.class).unwrap_or(1.0);
@@ -1383,10 +1457,8 @@
             if unsettled && job.old {
                 continue;
             }
-            let boot_s = self.types.iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min).min(600.0);
             let quota = (0..2).map(|r| team_left[team][r].checked_div(job.need[r]).unwrap_or(u64::MAX)).min();
             let mut left = job.pending().min(quota.unwrap_or(0).min(u32::MAX as u64) as u32);
-            left = left.min(self.slots(job, boot_s).saturating_sub(job.active.len() as u32));
             let taken = left as u64;
             team_left[team] = std::array::from_fn(|r| team_left[team][r].saturating_sub(job.need[r] * taken));
             let mut zones: HashMap<usize, u32> = HashMap::new();
@@ -1431,18 +1503,6 @@
         needs
     }
 
-    /// How many of a job's tasks should run at once for it to be complete in time.
-    fn slots(&self, job: &Job, boot_s: f64) -> u32 {
-        let left = job.tasks() - job.done_n;
-        if job.record.spec.kind == Kind::Service || job.within {
-            return left;
-        }
-        let time_s = job.time_s();
-        let slack_s = job.deadline().map(|d| (d as f64 - self.now as f64) / 1000.0);
-        let horizon = slack_s.map_or(1.5 * time_s, |s| 0.6 * (s - boot_s)).max(time_s);
-        (left as f64 * time_s / horizon).ceil() as u32
-    }
-
     /// Stops lower work for up to `n` tasks of a job; returns for how many.
     fn preempt(&mut self, j: usize, n: u32, room: &mut HashMap<usize, Amounts>) -> u32 {
         let job = self.job(j);
