Probe machines that are overdue or inherited, and miss those that direct orders did not reach

Workers' addresses are now recorded, and empty direct orders fetch a report under the new token at once.

--- a/src/node.rs
+++ b/src/node.rs
@@ -170,8 +170,8 @@
         for (name, h) in &self.mirror.hires {
             let h = &h.record;
             for machine in h.machines.iter().flatten() {
-                let was_up = h.up.contains(machine);
-                part.add_machine(machine, name, (&h.machine_type, &h.zone, h.spot), was_up);
+                let address = h.up.iter().find(|(m, _)| m == machine).map(|(_, a)| a.as_str());
+                part.add_machine(machine, name, (&h.machine_type, &h.zone, h.spot), address);
             }
         }
         for (id, v) in &self.mirror.live {
@@ -639,11 +639,11 @@
                     continue;
                 }
                 part.place();
+                let mut sends = part.probes(12);
                 if direct {
-                    part.direct(8)
-                } else {
-                    Vec::new()
+                    sends.extend(part.direct(12));
                 }
+                sends
             };
             for d in sends {
                 let me = self.clone();
@@ -656,7 +656,7 @@
                         let now = core.now();
                         if let Some(part) = core.part.as_mut() {
                             part.at(now);
-                            part.direct_answer(&d.machine, answer.as_ref());
+                            part.direct_answer(&d, answer.as_ref());
                             me.urgent.notify_one();
                         }
                     }
@@ -745,19 +745,18 @@
             for (name, h) in &core.mirror.hires {
                 let Some(machines) = &h.record.machines else { continue };
                 let gone = machines.iter().any(|m| core.gone.contains(m)) || machines.is_empty();
-                let new: Vec<_> = fresh.iter().filter(|(m, hire)| hire == name && machines.contains(m)).collect();
+                let new: Vec<_> = fresh.iter().filter(|(m, hire, _)| hire == name && machines.contains(m)).collect();
                 if (!gone && new.is_empty()) || txn.apply.len() >= ops {
                     continue;
                 }
                 let mut record = h.record.clone();
                 let left: Vec<String> = machines.iter().filter(|m| !core.gone.contains(*m)).cloned().collect();
-                for (m, _) in new {
-                    if !record.up.contains(m) {
-                        record.up.push(m.clone());
-                    }
+                for (m, _, address) in new {
+                    record.up.retain(|(known, _)| known != m);
+                    record.up.push((m.clone(), address.clone()));
                     up.push(m.clone());
                 }
-                record.up.retain(|m| left.contains(m));
+                record.up.retain(|(m, _)| left.contains(m));
                 let key = store::hire_key(name);
                 txn.guards.push(guard(key.clone(), h.version));
                 txn.apply.push(if left.is_empty() {
@@ -880,7 +879,8 @@
         let core = &mut *core;
         let now = core.begun.elapsed().as_millis() as u64 + 1000;
         let w = &core.settings.platform.deployment.workers;
-        let silent_ms = 6000 + (2000.0 * w.report_s) as u64;
+        // Long enough for two probes; a machine silent for longer rarely comes back within its lease.
+        let silent_ms = ((2.0 * w.report_s + 2.0).max(0.4 * w.lease_s) * 1000.0) as u64;
         let idle_ms = (core.settings.operator.idle_return_s * 1000.0) as u64;
         let Some(part) = core.part.as_mut() else { return Vec::new() };
         part.at(now);
@@ -978,7 +978,7 @@
         let Some(part) = core.part.as_mut() else { return };
         part.at(now);
         for m in r.machines.iter().flatten() {
-            part.add_machine(m, hire, (&r.machine_type, &r.zone, r.spot), false);
+            part.add_machine(m, hire, (&r.machine_type, &r.zone, r.spot), None);
         }
     }
 
--- a/src/part.rs
+++ b/src/part.rs
@@ -302,6 +302,7 @@
     errors: Vec<usize>,
     not_before: u64,
     direct: bool,
+    probe_at: u64,
     /// Draining only because there is more room than is needed.
     surplus: bool,
 }
@@ -670,9 +671,10 @@
 
     // ---- machines ----
 
-    /// Takes in a machine that the store records. `inherited`: it was up before this epoch, so that tasks may be
+    /// Takes in a machine that the store records. `address`: it was up before this epoch, so that tasks may be
     /// there, and its lease counts from the last moment at which an earlier leader could have answered it.
-    pub fn add_machine(&mut self, name: &str, hire: &str, of: (&str, &str, bool), inherited: bool) {
+    pub fn add_machine(&mut self, name: &str, hire: &str, of: (&str, &str, bool), address: Option<&str>) {
+        let inherited = address.is_some();
         if self.knows(name) {
             return;
         }
@@ -688,7 +690,7 @@
             spot: of.2,
             since: self.now,
             idle_since: None,
-            address: String::new(),
+            address: address.unwrap_or_default().to_string(),
             room,
             tasks: BTreeSet::new(),
             counter: 0,
@@ -704,6 +706,7 @@
             errors: Vec::new(),
             not_before: 0,
             direct: false,
+            probe_at: 0,
             surplus: false,
         };
         self.machines.push(Some(machine));
@@ -744,10 +747,10 @@
         self.changed = true;
     }
 
-    /// Machines that have reported but are not recorded as up, with their hire.
-    pub fn unrecorded(&self) -> Vec<(String, String)> {
+    /// Machines that have reported but are not recorded as up: name, hire, address.
+    pub fn unrecorded(&self) -> Vec<(String, String, String)> {
         let fresh = self.machines().filter(|(_, m)| m.state == MachineState::Up && !m.recorded);
-        fresh.map(|(_, m)| (m.name.clone(), m.hire.clone())).collect()
+        fresh.map(|(_, m)| (m.name.clone(), m.hire.clone(), m.address.clone())).collect()
     }
 
     /// A machine is recorded as up.
@@ -775,7 +778,8 @@
 
     /// Machines from which nothing has been heard for a time, and how many there are to hear from.
     pub fn silent(&self, for_ms: u64) -> (Vec<usize>, usize) {
-        let expected = |m: &Machine| m.current || m.inherited;
+        // Also those that direct orders did not reach: they are not current, and were once never missed.
+        let expected = |m: &Machine| m.inherited || m.state != MachineState::Waiting;
         let all = self.machines().filter(|(_, m)| expected(m)).count();
         let quiet = self.machines().filter(|(_, m)| expected(m) && self.now > m.last_heard + for_ms);
         (quiet.map(|(i, _)| i).collect(), all)
@@ -1137,20 +1141,42 @@
         out
     }
 
+    /// Empty orders for machines that are overdue or, in a new epoch, were not heard yet: the answer is a report under the
+    /// current token, much sooner than the worker's next one.
+    pub fn probes(&mut self, most: usize) -> Vec<Direct> {
+        let late = self.p.report_ms * 3 / 2 + 500;
+        let mut out = Vec::new();
+        for i in 0..self.machines.len() {
+            let Some(m) = self.machines[i].as_ref() else { continue };
+            let due = m.inherited || (m.state != MachineState::Waiting && self.now > m.last_heard + late);
+            if out.len() >= most || !due || m.direct || m.address.is_empty() || self.now < m.probe_at {
+                continue;
+            }
+            let (machine, address, token, session) = (m.name.clone(), m.address.clone(), self.token(m), m.last.0);
+            let again = self.now + 1000;
+            let m = self.machine_mut(i);
+            m.direct = true;
+            m.probe_at = again;
+            out.push(Direct { machine, address, token, session, orders: Vec::new() });
+        }
+        out
+    }
+
     /// The answer to direct orders. Without one they may execute minutes later: the token is raised, so that they are
     /// void once the worker has seen it, and until then nothing is concluded from its reports.
-    pub fn direct_answer(&mut self, machine: &str, answer: Option<&Report>) {
-        let Some(&i) = self.machine_index.get(machine) else { return };
+    pub fn direct_answer(&mut self, sent: &Direct, answer: Option<&Report>) {
+        let Some(&i) = self.machine_index.get(&sent.machine) else { return };
         self.machine_mut(i).direct = false;
         match answer {
             Some(r) => {
                 self.report(r, false, false);
             }
+            None if sent.orders.is_empty() => {}
             None => {
                 let m = self.machine_mut(i);
                 m.counter += 1;
                 m.current = false;
-                tracing::info!(machine, "no answer to direct orders, token raised");
+                tracing::info!(machine = %sent.machine, "no answer to direct orders, token raised");
             }
         }
     }
@@ -1347,8 +1373,11 @@
             let job = self.job(j);
             let free = |o: &Machine| {
                 let same_zone = o.zone == m.zone || !(job.record.spec.scatter || job.record.spec.together);
-                self.open(o) && self.may_host(job, o) && same_zone
-                    && o.images.contains(&job.image) && fits(&job.need, &o.room) > 0
+                self.open(o)
+                    && self.may_host(job, o)
+                    && same_zone
+                    && o.images.contains(&job.image)
+                    && fits(&job.need, &o.room) > 0
             };
             if self.machines().any(|(_, o)| free(o)) {
                 self.step(j, t, Step::Stop { save: false });
--- a/src/store.rs
+++ b/src/store.rs
@@ -99,8 +99,8 @@
     pub count: u32,
     /// Machines; none while the answer is unknown.
     pub machines: Option<Vec<String>>,
-    /// Those that have reported: only they may hold tasks.
-    pub up: Vec<String>,
+    /// Those that have reported, with their workers' addresses: only they may hold tasks.
+    pub up: Vec<(String, String)>,
 }
 
 /// A versioned record.
