--- a/src/node.rs
+++ b/src/node.rs
@@ -472,10 +472,7 @@
                 };
             }
         }
-        let txn = Txn {
-            guards: vec![guard(store::live_key(&id), 0), guard(store::over_key(&id), 0)],
-            apply: vec![put(store::live_key(&id), &LiveRecord { spec, at_ms }, None)],
-        };
+        let txn = store::submit_txn(&id, &LiveRecord { spec, at_ms });
         let queued = JobView { id: id.clone(), state: JobState::Queued, done: Some(0), running: Some(0) };
         match self.txn(&txn).await {
             Ok(Decided::Applied(_)) => Answer::Job(201, queued),
@@ -512,14 +509,7 @@
                 }
             };
             let over = OverRecord { cancelled: true, tasks: live.record.spec.tasks };
-            let txn = Txn {
-                guards: vec![guard(store::live_key(&id), live.version), guard(store::over_key(&id), 0)],
-                apply: vec![
-                    wire::Change::Delete { key: store::live_key(&id) },
-                    put(store::stopping_key(&id), &live.record, None),
-                    put(store::over_key(&id), &over, None),
-                ],
-            };
+            let txn = store::abort_txn(&id, &live);
             match self.txn(&txn).await {
                 Ok(Decided::Applied(_)) => {
                     self.core.borrow_mut().mirror.remember_over(&id, over);
@@ -690,10 +680,7 @@
         let complete = self.core.borrow().part.as_ref().map(|p| p.complete_jobs()).unwrap_or_default();
         for (id, version, tasks) in complete.into_iter().take(8) {
             let over = OverRecord { cancelled: false, tasks };
-            let txn = Txn {
-                guards: vec![epoch.clone(), guard(store::live_key(&id), version), guard(store::over_key(&id), 0)],
-                apply: vec![wire::Change::Delete { key: store::live_key(&id) }, put(store::over_key(&id), &over, None)],
-            };
+            let txn = store::complete_txn(epoch, &id, version, tasks);
             // If it failed, the job was cancelled, or an unanswered try went through: the watch tells.
             if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
                 tracing::info!(job = %id, tasks, "job done");
@@ -963,9 +950,8 @@
                 machines: Some(vec![machine.clone()]),
                 up: Vec::new(),
             };
-            let key = store::hire_key(&name);
-            let guards = vec![guard(store::epoch_key(), epoch), guard(key.clone(), 0)];
-            if let Ok(Decided::Applied(_)) = self.txn(&Txn { guards, apply: vec![put(key, &record, None)] }).await {
+            let txn = store::hire_txn(&guard(store::epoch_key(), epoch), &name, 0, &record);
+            if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
                 tracing::info!(%machine, "unexpected machine taken in");
                 self.add_machines(&name, &record);
             }
@@ -1040,9 +1026,7 @@
             };
             (format!("{}-{:x}-{}", core.me.node, core.me.incarnation, core.hires), record, epoch)
         };
-        let key = store::hire_key(&name);
-        let guards = vec![guard(store::epoch_key(), epoch), guard(key.clone(), 0)];
-        match self.txn(&Txn { guards, apply: vec![put(key, &record, None)] }).await {
+        match self.txn(&store::hire_txn(&guard(store::epoch_key(), epoch), &name, 0, &record)).await {
             Ok(Decided::Applied(version)) => self.call_hire(&name, record, version).await,
             _ => false,
         }
@@ -1069,15 +1053,8 @@
             Rented::Refused | Rented::Unknown => return false,
         };
         self.note_offer(&record, got.len());
-        let key = store::hire_key(name);
-        let change = if got.is_empty() {
-            wire::Change::Delete { key: key.clone() }
-        } else {
-            record.machines = Some(got);
-            put(key.clone(), &record, None)
-        };
-        let guards = vec![guard(store::epoch_key(), epoch), guard(key, version)];
-        match self.txn(&Txn { guards, apply: vec![change] }).await {
+        record.machines = Some(got);
+        match self.txn(&store::hire_txn(&guard(store::epoch_key(), epoch), name, version, &record)).await {
             Ok(Decided::Applied(_)) => {
                 self.add_machines(name, &record);
                 true
--- a/src/part.rs
+++ b/src/part.rs
@@ -104,6 +104,8 @@
     pub transfer_test: bool,
     /// Teams.
     pub teams: Vec<TeamQuota>,
+    /// Classes that are expected to start within a time, in seconds.
+    pub waits: HashMap<String, f64>,
 }
 
 impl Params {
@@ -118,6 +120,14 @@
             fetch_gb_per_s: s.operator.fetch_gb_per_s,
             transfer_test: s.operator.transfer_test,
             teams: s.platform.deployment.teams.iter().map(TeamQuota::new).collect(),
+            waits: s
+                .platform
+                .deployment
+                .objectives
+                .iter()
+                .filter(|o| o.kind == "wait")
+                .filter_map(|o| Some((o.class.clone()?, o.within_s?)))
+                .collect(),
         }
     }
 }
@@ -1431,6 +1441,26 @@
         // With a zone cap a machine may get less than planned; the plan then covers all machines.
         let capped = job.record.spec.scatter;
         let plan = placement::plan(candidates, if capped { Ask { tasks: u32::MAX, ..ask } } else { ask });
+        // Where the transfer would outlast the time in which the class is expected to start, room on a holder is won
+        // from lower work instead. What is being stopped there is waited for.
+        let late = self.p.waits.get(&job.record.spec.class).is_some_and(|w| ask.transfer_s > *w);
+        if late && job.record.spec.priority == Priority::Production {
+            let image = job.image;
+            let strange = |m: usize| !self.machine(m).images.contains(&image);
+            let elsewhere: u32 = plan.now.iter().filter(|(m, _)| strange(*m)).map(|(_, n)| *n).sum();
+            if elsewhere > 0 {
+                let mut room = self.room_coming(|m| m.images.contains(&image));
+                let need = self.job(j).need;
+                let mut wait = 0;
+                for (m, r) in room.iter_mut().filter(|(m, _)| self.may_host(self.job(j), self.machine(**m))) {
+                    let n = fits(&need, r).saturating_sub(fits(&need, &self.machine(*m).room)).min(elsewhere - wait);
+                    *r = less(r, &need, n as u64);
+                    wait += n;
+                }
+                wait += self.preempt(j, elsewhere - wait, &mut room);
+                left = left.saturating_sub(wait);
+            }
+        }
         for (machine, n) in plan.later {
             *self.waited.entry(machine).or_default() += n;
         }
@@ -1452,26 +1482,30 @@
         }
     }
 
+    /// Room of open machines, with what is being stopped there.
+    fn room_coming(&self, of: impl Fn(&Machine) -> bool) -> HashMap<usize, Amounts> {
+        let open = self.machines().filter(|(_, m)| self.open(m) && of(m));
+        open.map(|(i, m)| {
+            let mut r = m.room;
+            for (j, t) in &m.tasks {
+                let job = self.job(*j);
+                if job.active.get(t).is_some_and(|a| matches!(a.phase, Phase::Stopping { .. })) {
+                    r = more(&r, &job.need, 1);
+                }
+            }
+            (i, r)
+        })
+        .collect()
+    }
+
     /// Looks ahead: stops lower work where a higher job or a guarantee has a claim, and returns what finds no room even
     /// on the machines that are coming up.
     pub fn look_ahead(&mut self, preempt: bool) -> Vec<Need> {
         let unsettled = self.unsettled() > 0;
-        let mut room: HashMap<usize, Amounts> = HashMap::new();
-        let mut coming: HashMap<usize, Amounts> = HashMap::new();
-        for (i, m) in self.machines() {
-            if self.open(m) {
-                let mut r = m.room;
-                for (j, t) in &m.tasks {
-                    let job = self.job(*j);
-                    if job.active.get(t).is_some_and(|a| matches!(a.phase, Phase::Stopping { .. })) {
-                        r = more(&r, &job.need, 1);
-                    }
-                }
-                room.insert(i, r);
-            } else if m.state == MachineState::Waiting && !m.inherited && !self.overdue(m, 2.0) {
-                coming.insert(i, m.room);
-            }
-        }
+        let mut room = self.room_coming(|_| true);
+        let waiting = |m: &Machine| m.state == MachineState::Waiting && !m.inherited && !self.overdue(m, 2.0);
+        let mut coming: HashMap<usize, Amounts> =
+            self.machines().filter(|(_, m)| waiting(m)).map(|(i, m)| (i, m.room)).collect();
         let mut team_left: Vec<[u64; 2]> = (0..self.p.teams.len())
             .map(|t| {
                 std::array::from_fn(|r| {
@@ -1585,32 +1619,4 @@
 }
 
 #[cfg(test)]
-pub(crate) mod tests {
-    use super::*;
-    use crate::protocol::JobSpec;
-
-    pub fn spec(id: &str, tasks: u32) -> JobSpec {
-        JobSpec {
-            id: id.into(),
-            class: "c".into(),
-            team: "t".into(),
-            kind: Kind::Array,
-            priority: Priority::Normal,
-            tasks,
-            cpus: 2.0,
-            gpus: 0.0,
-            memory_gb: 2.0,
-            image: "i".into(),
-            image_gb: 1.0,
-            types: None,
-            zone: None,
-            together: false,
-            scatter: false,
-            spot: true,
-            estimate_s: 60.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-        }
-    }
-}
+pub(crate) mod tests;
--- /dev/null
+++ b/src/part/tests.rs
@@ -0,0 +1,480 @@
+//! The part under a fake clock, with scripted workers.
+
+use super::*;
+use crate::protocol::{JobSpec, TaskReport};
+
+const LEASE: u64 = 12_000;
+const RIDE: u64 = 10_000;
+
+/// A job like many.
+pub fn spec(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "c".into(),
+        team: "t".into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks,
+        cpus: 2.0,
+        gpus: 0.0,
+        memory_gb: 2.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        together: false,
+        scatter: false,
+        spot: true,
+        estimate_s: 60.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+/// A part of epoch 5 whose record has version 100, at time 1000.
+struct World {
+    part: Part,
+    seq: u64,
+}
+
+impl World {
+    fn new() -> World {
+        World::with(u64::MAX)
+    }
+
+    fn with(limit: u64) -> World {
+        let team = |name: &str, guarantee| TeamQuota {
+            name: name.into(),
+            guarantee: [guarantee, 0],
+            limit: [limit, u64::MAX],
+        };
+        let params = Params {
+            lease_ms: LEASE,
+            report_ms: 1500,
+            ride_ms: RIDE,
+            group_factor: 1.25,
+            fetch_gb_per_s: 0.1,
+            transfer_test: true,
+            teams: vec![team("t", 0), team("u", 4000)],
+            waits: HashMap::new(),
+        };
+        let mut part = Part::new(params, 5, 100, 1000);
+        let kind = MachineType {
+            name: "m8".into(),
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 32.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 0.1,
+            price: 1.0,
+            spot_price: 0.3,
+            boot_s: 30.0,
+            zones: vec!["a".into(), "b".into()],
+        };
+        part.set_types(&[kind]);
+        World { part, seq: 0 }
+    }
+
+    fn job(&mut self, spec: JobSpec, version: u64) {
+        self.part.add_job(LiveRecord { spec, at_ms: 0 }, version, &[], 0, false);
+    }
+
+    /// A machine of this epoch, up and recorded.
+    fn machine(&mut self, name: &str, zone: &str) {
+        self.part.add_machine(name, "h", ("m8", zone, false), None);
+        self.tell(name, &[]);
+        self.tell_token(name, self.token(), &[]);
+        self.part.recorded(name);
+    }
+
+    /// A machine that was up before this epoch.
+    fn inherited(&mut self, name: &str) {
+        self.part.add_machine(name, "h", ("m8", "a", false), Some("1.2.3.4:9"));
+    }
+
+    fn token(&self) -> u64 {
+        5 << TOKEN_BITS
+    }
+
+    fn report(&mut self, machine: &str, token: u64, tasks: &[(&str, u64, TaskState, Option<Why>)]) -> Report {
+        self.seq += 1;
+        let zone = self.part.machine_index.get(machine).map(|i| self.part.zone_name(self.part.machine(*i).zone));
+        let lines = tasks.iter().map(|(task, attempt, state, why)| TaskReport {
+            task: (*task).into(),
+            attempt: *attempt,
+            state: *state,
+            why: *why,
+            saved: None,
+        });
+        Report {
+            machine: machine.into(),
+            address: "1.2.3.4:9".into(),
+            machine_type: "m8".into(),
+            zone: zone.unwrap_or("a").into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            token,
+            notice_s: None,
+            tasks: lines.collect(),
+        }
+    }
+
+    fn answer(&mut self, r: &Report) -> Vec<Order> {
+        match self.part.report(r, true, true) {
+            Taken::Reply(reply) => reply.orders,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn tell_token(&mut self, machine: &str, token: u64, tasks: &[(&str, u64, TaskState, Option<Why>)]) -> Vec<Order> {
+        let r = self.report(machine, token, tasks);
+        self.answer(&r)
+    }
+
+    /// A report under the current token.
+    fn tell(&mut self, machine: &str, tasks: &[(&str, u64, TaskState, Option<Why>)]) -> Vec<Order> {
+        self.tell_token(machine, self.token(), tasks)
+    }
+
+    fn tick(&mut self, now: u64) {
+        self.part.tick(now);
+        self.part.stir();
+        self.part.place();
+    }
+}
+
+/// The starts among orders.
+fn starts(orders: &[Order]) -> Vec<(String, u64)> {
+    let start = |o: &Order| match o {
+        Order::Start { task, attempt } => Some((task.clone(), *attempt)),
+        _ => None,
+    };
+    orders.iter().filter_map(start).collect()
+}
+
+fn stops(orders: &[Order]) -> usize {
+    orders.iter().filter(|o| matches!(o, Order::Stop { .. })).count()
+}
+
+#[test]
+fn an_heir_places_nothing_that_an_unheard_machine_may_run() {
+    let mut w = World::new();
+    w.inherited("n-1");
+    w.inherited("n-2");
+    w.job(spec("wk-1", 2), 50);
+    assert!(w.tell("n-1", &[("wk-1/0", 7, TaskState::Running, None)]).is_empty());
+    // wk-1/1 may run on n-2. A job accepted in this epoch may not.
+    w.job(spec("wk-2", 1), 101);
+    assert_eq!(starts(&w.tell("n-1", &[("wk-1/0", 7, TaskState::Running, None)])).len(), 1);
+    // A report under the old token says nothing: an old start may still be on its way to the worker.
+    assert!(w.tell_token("n-2", 4 << TOKEN_BITS, &[]).is_empty());
+    assert_eq!(w.part.unsettled(), 1);
+    let mut got = starts(&w.tell("n-2", &[]));
+    got.extend(starts(&w.tell("n-1", &[("wk-1/0", 7, TaskState::Running, None)])));
+    assert_eq!(got[0].0, "wk-1/1");
+    assert!(got[0].1 > 7, "attempts of a later epoch are larger");
+}
+
+#[test]
+fn an_heir_outwaits_lease_and_ride_of_a_machine_it_never_hears() {
+    let mut w = World::new();
+    w.inherited("n-1");
+    w.machine("n-9", "a");
+    w.job(spec("wk-1", 1), 50);
+    // The earlier leader may have renewed its lease until RIDE after this epoch began.
+    w.tick(1000 + LEASE + RIDE);
+    assert!(starts(&w.tell("n-9", &[])).is_empty());
+    w.tick(1000 + LEASE + RIDE + 1000);
+    assert_eq!(starts(&w.tell("n-9", &[])).len(), 1);
+}
+
+#[test]
+fn a_confirmed_release_proves_a_machine_gone() {
+    let mut w = World::new();
+    w.inherited("n-1");
+    w.machine("n-9", "a");
+    w.job(spec("wk-1", 1), 50);
+    assert!(starts(&w.tell("n-9", &[])).is_empty());
+    w.part.machine_gone("n-1");
+    assert_eq!(starts(&w.tell("n-9", &[])).len(), 1);
+}
+
+#[test]
+fn a_direct_start_without_answer_may_execute_late() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(spec("wk-1", 1), 101);
+    w.tick(2000);
+    let sent = w.part.direct(9);
+    assert_eq!(starts(&sent[0].orders).len(), 1);
+    // A report that left before the order arrived lacks the task: nothing follows from it while the answer is out.
+    assert!(starts(&w.tell("n-1", &[])).is_empty());
+    w.part.direct_answer(&sent[0], None);
+    // The token was raised; until the worker has seen it, the order may still execute.
+    assert!(starts(&w.tell("n-1", &[])).is_empty());
+    w.tick(3000);
+    assert!(w.part.direct(9).is_empty());
+    let raised = w.token() + 1;
+    let again = starts(&w.tell_token("n-1", raised, &[]));
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0].1, starts(&sent[0].orders)[0].1);
+}
+
+#[test]
+fn an_unanswered_direct_start_counts_on_a_machine_whose_lease_runs_out_only() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.machine("n-2", "a");
+    w.job(spec("wk-1", 1), 101);
+    w.tick(2000);
+    let sent = w.part.direct(9);
+    w.part.direct_answer(&sent[0], None);
+    let other = if sent[0].machine == "n-1" { "n-2" } else { "n-1" };
+    w.part.tick(12_500);
+    assert!(starts(&w.tell(other, &[])).is_empty());
+    w.part.tick(14_000);
+    assert_eq!(starts(&w.tell(other, &[])).len(), 1);
+}
+
+#[test]
+fn a_report_held_back_by_the_network_is_as_old_as_its_tasks() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(spec("wk-1", 1), 101);
+    let late = w.report("n-1", w.token(), &[]);
+    let got = starts(&w.tell("n-1", &[]));
+    assert_eq!(got.len(), 1);
+    w.tell("n-1", &[("wk-1/0", got[0].1, TaskState::Running, None)]);
+    assert!(w.answer(&late).is_empty());
+    assert_eq!(w.part.counts("wk-1"), Some((0, 1)));
+}
+
+#[test]
+fn a_worker_that_has_seen_a_later_epoch_ends_this_one() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    let r = w.report("n-1", 6 << TOKEN_BITS, &[]);
+    assert_eq!(w.part.report(&r, true, true), Taken::Superseded);
+}
+
+#[test]
+fn nothing_starts_without_the_right_nor_on_a_machine_the_store_does_not_know_as_up() {
+    let mut w = World::new();
+    w.part.add_machine("n-1", "h", ("m8", "a", false), None);
+    w.job(spec("wk-1", 1), 101);
+    assert!(starts(&w.tell("n-1", &[])).is_empty());
+    assert_eq!(w.part.unrecorded().len(), 1);
+    w.part.recorded("n-1");
+    let r = w.report("n-1", w.token(), &[]);
+    assert_eq!(
+        w.part.report(&r, true, false),
+        Taken::Reply(ReportReply { token: w.token(), orders: vec![] }),
+        "renewing in an outage starts nothing"
+    );
+    assert_eq!(starts(&w.tell("n-1", &[])).len(), 1);
+    let stranger = w.report("n-77", w.token(), &[]);
+    assert_eq!(w.part.report(&stranger, true, true), Taken::Stranger);
+}
+
+#[test]
+fn a_team_stays_within_its_limit_across_epochs_and_cancellations() {
+    let mut w = World::with(6000);
+    w.inherited("n-1");
+    w.machine("n-9", "a");
+    w.job(spec("wk-1", 2), 50);
+    w.job(spec("wk-2", 4), 101);
+    w.tick(1500);
+    // Two tasks of wk-1 may run unseen, so that one of wk-2 may start.
+    let got = starts(&w.tell("n-9", &[]));
+    assert_eq!(got.len(), 1);
+    let running = (got[0].0.clone(), got[0].1);
+    let line = [(running.0.as_str(), running.1, TaskState::Running, None)];
+    w.tell("n-9", &line);
+    // Cancelled work counts until it is proven gone.
+    w.part.drop_job("wk-2");
+    w.job(spec("wk-3", 4), 102);
+    w.tick(1600);
+    let orders = w.tell("n-9", &line);
+    assert_eq!((starts(&orders).len(), stops(&orders)), (0, 1));
+    assert_eq!(starts(&w.tell("n-9", &[])).len(), 1);
+}
+
+#[test]
+fn a_cancelled_job_never_starts_again() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(spec("wk-1", 1), 101);
+    let got = starts(&w.tell("n-1", &[]));
+    w.part.drop_job("wk-1");
+    // The start was in flight when its user cancelled: it is stopped once it shows.
+    assert!(w.part.stopped_jobs().is_empty());
+    assert_eq!(stops(&w.tell("n-1", &[("wk-1/0", got[0].1, TaskState::Fetching, None)])), 1);
+    w.tell("n-1", &[("wk-1/0", got[0].1, TaskState::Exited, Some(Why::Stopped))]);
+    assert_eq!(w.part.stopped_jobs(), vec!["wk-1".to_string()]);
+    assert!(starts(&w.tell("n-1", &[])).is_empty());
+}
+
+#[test]
+fn a_cancelled_job_of_an_earlier_epoch_is_kept_until_every_machine_is_settled() {
+    let mut w = World::new();
+    w.inherited("n-1");
+    w.part.add_job(LiveRecord { spec: spec("wk-1", 1), at_ms: 0 }, 50, &[], 0, true);
+    assert!(w.part.stopped_jobs().is_empty());
+    assert_eq!(stops(&w.tell("n-1", &[("wk-1/0", 7, TaskState::Running, None)])), 1);
+    assert!(w.part.stopped_jobs().is_empty());
+    w.tell("n-1", &[]);
+    assert_eq!(w.part.stopped_jobs().len(), 1);
+}
+
+#[test]
+fn a_result_is_forgotten_only_when_durable_and_a_job_is_done_only_when_every_task_is() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(spec("wk-1", 2), 101);
+    let got = starts(&w.tell("n-1", &[]));
+    let done = |i: usize| (got[i].0.as_str(), got[i].1, TaskState::Exited, Some(Why::Done));
+    let run = |i: usize| (got[i].0.as_str(), got[i].1, TaskState::Running, None);
+    assert!(w.tell("n-1", &[done(0), run(1)]).is_empty());
+    assert!(w.part.complete_jobs().is_empty());
+    let rows = w.part.unsaved(9);
+    assert_eq!(rows.len(), 1);
+    w.part.saved(&rows[0]);
+    let orders = w.tell("n-1", &[done(0), run(1)]);
+    assert!(matches!(orders[..], [Order::Forget { .. }]));
+    assert!(w.part.complete_jobs().is_empty());
+    w.tell("n-1", &[done(0), done(1)]);
+    assert_eq!(w.part.complete_jobs(), vec![("wk-1".to_string(), 101, 2)]);
+}
+
+#[test]
+fn stored_results_survive_a_crash_of_every_node() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.part.add_job(LiveRecord { spec: spec("wk-1", 3), at_ms: 0 }, 50, &[(0, vec![0b101])], 0, false);
+    let got = starts(&w.tell("n-1", &[]));
+    assert_eq!(got.iter().map(|g| g.0.as_str()).collect::<Vec<_>>(), vec!["wk-1/1"]);
+}
+
+#[test]
+fn zones_types_and_spot_are_kept() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.machine("n-2", "b");
+    w.job(JobSpec { scatter: true, ..spec("wk-1", 5) }, 101);
+    w.job(JobSpec { zone: Some("b".into()), ..spec("wk-2", 1) }, 102);
+    w.job(JobSpec { types: Some(vec!["other".into()]), ..spec("wk-3", 1) }, 103);
+    let a = starts(&w.tell("n-1", &[]));
+    let b = starts(&w.tell("n-2", &[]));
+    let of = |l: &[(String, u64)], job: &str| l.iter().filter(|s| s.0.starts_with(job)).count();
+    assert_eq!((of(&a, "wk-1"), of(&b, "wk-1")), (3, 2), "at most half, rounded up, in a zone");
+    assert_eq!((of(&a, "wk-2"), of(&b, "wk-2")), (0, 1));
+    assert_eq!((of(&a, "wk-3"), of(&b, "wk-3")), (0, 0));
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.machine("n-2", "b");
+    w.job(JobSpec { together: true, ..spec("wk-4", 6) }, 101);
+    let (a, b) = (starts(&w.tell("n-1", &[])).len(), starts(&w.tell("n-2", &[])).len());
+    assert_eq!((a.max(b), a.min(b)), (4, 0), "all tasks in one zone");
+}
+
+#[test]
+fn a_machine_that_fails_several_jobs_is_given_up_and_a_job_that_fails_everywhere_waits() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    for (n, id) in ["wk-1", "wk-2"].into_iter().enumerate() {
+        w.job(spec(id, 1), 101 + n as u64);
+        w.part.stir();
+        let now = 1000 + n as u64 * 6_000;
+        w.part.tick(now);
+        let got = starts(&w.tell("n-1", &[]));
+        let failed: Vec<_> = got.iter().map(|g| (g.0.as_str(), g.1, TaskState::Exited, Some(Why::Error))).collect();
+        w.tell("n-1", &failed);
+    }
+    let state = w.part.machines().next().map(|(_, m)| m.state);
+    assert_eq!(state, Some(MachineState::Draining));
+
+    let mut w = World::new();
+    for name in ["n-1", "n-2", "n-3"] {
+        w.machine(name, "a");
+    }
+    w.job(JobSpec { cpus: 8.0, ..spec("wk-1", 3) }, 101);
+    w.tick(1100);
+    for name in ["n-1", "n-2", "n-3"] {
+        let got = starts(&w.tell(name, &[]));
+        w.tell(name, &[(got[0].0.as_str(), got[0].1, TaskState::Exited, Some(Why::Error))]);
+    }
+    assert!(w.part.machines().all(|(_, m)| m.state == MachineState::Up));
+    w.tick(1200);
+    assert!(starts(&w.tell("n-1", &[])).is_empty(), "a job with a mistake backs off");
+}
+
+#[test]
+fn higher_work_and_guarantees_win_room_but_equals_do_not() {
+    let full = |w: &mut World| {
+        w.machine("n-1", "a");
+        w.job(spec("wk-1", 4), 101);
+        let got = starts(&w.tell("n-1", &[]));
+        let lines: Vec<_> = got.iter().map(|g| (g.0.as_str(), g.1, TaskState::Running, None)).collect();
+        w.tell("n-1", &lines);
+    };
+    let stopping = |w: &World| {
+        let job = w.part.jobs().find(|j| j.record.spec.id == "wk-1");
+        job.map_or(0, |j| j.active.values().filter(|a| matches!(a.phase, Phase::Stopping { .. })).count())
+    };
+    let mut w = World::new();
+    full(&mut w);
+    w.job(JobSpec { priority: Priority::Production, ..spec("wk-2", 2) }, 102);
+    w.part.look_ahead(true);
+    assert_eq!(stopping(&w), 2);
+    w.part.look_ahead(true);
+    assert_eq!(stopping(&w), 2, "room that is on its way is not won twice");
+    let mut w = World::new();
+    full(&mut w);
+    w.job(spec("wk-3", 2), 102);
+    assert_eq!((w.part.look_ahead(true).len(), stopping(&w)), (1, 0));
+    // Team u is guaranteed 4 CPUs, and team t, which has no guarantee, must give them back.
+    w.job(JobSpec { team: "u".into(), ..spec("wk-4", 2) }, 103);
+    w.part.look_ahead(true);
+    assert_eq!(stopping(&w), 2);
+}
+
+#[test]
+fn a_notice_lets_work_save_and_takes_no_new() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(JobSpec { checkpoint_s: 10.0, save_s: 4.0, ..spec("wk-1", 1) }, 101);
+    let got = starts(&w.tell("n-1", &[]));
+    let mut r = w.report("n-1", w.token(), &[(got[0].0.as_str(), got[0].1, TaskState::Running, None)]);
+    r.notice_s = Some(20.0);
+    w.answer(&r);
+    w.job(spec("wk-2", 1), 102);
+    w.tick(2000);
+    let mut r = w.report("n-1", w.token(), &[(got[0].0.as_str(), got[0].1, TaskState::Running, None)]);
+    r.notice_s = Some(19.0);
+    assert!(w.answer(&r).is_empty());
+    w.tick(12_500);
+    let mut r = w.report("n-1", w.token(), &[(got[0].0.as_str(), got[0].1, TaskState::Running, None)]);
+    r.notice_s = Some(8.5);
+    assert_eq!(w.answer(&r), vec![Order::Stop { task: "wk-1/0".into(), attempt: got[0].1, grace_s: 4.0 }]);
+}
+
+#[test]
+fn machines_that_direct_orders_did_not_reach_are_missed_and_probed() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.inherited("n-2");
+    w.job(spec("wk-1", 1), 101);
+    w.tick(2000);
+    let probe = w.part.probes(9);
+    assert_eq!(probe.iter().map(|d| d.machine.as_str()).collect::<Vec<_>>(), vec!["n-2"]);
+    let sent = w.part.direct(9);
+    w.part.direct_answer(&sent[0], None);
+    w.part.tick(9000);
+    // It was once left out, being no longer current, and its tasks waited for the lease.
+    assert_eq!(w.part.silent(5000).0.len(), 2);
+    // An unanswered probe gave no orders: the token stays.
+    w.part.direct_answer(&probe[0], None);
+    assert_eq!(w.part.machines().find(|(_, m)| m.name == "n-2").map(|(_, m)| m.counter), Some(0));
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -323,6 +323,41 @@
     Change::Put { put: key, value: Value::serialized(record).unwrap_or(Value::Null), hold }
 }
 
+/// Accepts a job that is neither unfinished nor finished.
+pub fn submit_txn(id: &str, record: &LiveRecord) -> Txn {
+    Txn { guards: vec![guard(live_key(id), 0), guard(over_key(id), 0)], apply: vec![put(live_key(id), record, None)] }
+}
+
+/// Cancels an unfinished job. Its record is kept among those being stopped until none of its tasks can be anywhere.
+pub fn abort_txn(id: &str, live: &Versioned<LiveRecord>) -> Txn {
+    let over = OverRecord { cancelled: true, tasks: live.record.spec.tasks };
+    Txn {
+        guards: vec![guard(live_key(id), live.version), guard(over_key(id), 0)],
+        apply: vec![
+            Change::Delete { key: live_key(id) },
+            put(stopping_key(id), &live.record, None),
+            put(over_key(id), &over, None),
+        ],
+    }
+}
+
+/// Makes a job with every task done final, in the leader's epoch.
+pub fn complete_txn(epoch: &Guard, id: &str, version: u64, tasks: u32) -> Txn {
+    let over = OverRecord { cancelled: false, tasks };
+    Txn {
+        guards: vec![epoch.clone(), guard(live_key(id), version), guard(over_key(id), 0)],
+        apply: vec![Change::Delete { key: live_key(id) }, put(over_key(id), &over, None)],
+    }
+}
+
+/// Writes a hire in the leader's epoch: a new one (`version` 0) or an answered one; without machines it is dropped.
+pub fn hire_txn(epoch: &Guard, name: &str, version: u64, record: &HireRecord) -> Txn {
+    let key = hire_key(name);
+    let empty = record.machines.as_ref().is_some_and(|m| m.is_empty());
+    let change = if empty { Change::Delete { key: key.clone() } } else { put(key.clone(), record, None) };
+    Txn { guards: vec![epoch.clone(), guard(key, version)], apply: vec![change] }
+}
+
 /// How a call to the state service can end without an answer to rely on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -513,6 +548,77 @@
         assert!(m.over("wk-9").unwrap().cancelled);
     }
 
+    /// A stand-in for the state service's transactions.
+    #[derive(Default)]
+    struct Service {
+        keys: HashMap<String, u64>,
+        revision: u64,
+    }
+
+    impl Service {
+        fn run(&mut self, txn: &Txn) -> bool {
+            if txn.guards.iter().any(|g| self.keys.get(&g.key).copied().unwrap_or(0) != g.version) {
+                return false;
+            }
+            self.revision += 1;
+            for change in &txn.apply {
+                match change {
+                    Change::Put { put, .. } => self.keys.insert(put.clone(), self.revision),
+                    Change::Delete { key } => self.keys.remove(key),
+                };
+            }
+            true
+        }
+        fn has(&self, key: String) -> bool {
+            self.keys.contains_key(&key)
+        }
+    }
+
+    #[test]
+    fn late_and_repeated_transactions_do_nothing() {
+        let record = LiveRecord { spec: crate::part::tests::spec("wk-1", 1), at_ms: 5 };
+        let mut s = Service::default();
+        assert!(s.run(&Txn { guards: vec![], apply: vec![put(epoch_key(), &1, None)] }));
+        let epoch = guard(epoch_key(), 1);
+        let submit = submit_txn("wk-1", &record);
+        assert!(s.run(&submit) && !s.run(&submit));
+        let live = Versioned { record, version: s.revision };
+        let complete = complete_txn(&epoch, "wk-1", live.version, 1);
+        let abort = abort_txn("wk-1", &live);
+        assert!(s.run(&abort));
+        // A leader's late completion must not turn a cancelled job into a done one, nor a retry submit it again.
+        assert!(!s.run(&complete) && !s.run(&abort) && !s.run(&submit));
+        assert!(s.has(over_key("wk-1")) && s.has(stopping_key("wk-1")) && !s.has(live_key("wk-1")));
+    }
+
+    #[test]
+    fn a_leader_of_an_earlier_epoch_writes_nothing() {
+        let record = LiveRecord { spec: crate::part::tests::spec("wk-2", 1), at_ms: 5 };
+        let mut s = Service::default();
+        s.run(&Txn { guards: vec![], apply: vec![put(epoch_key(), &1, None)] });
+        let old = guard(epoch_key(), s.revision);
+        s.run(&submit_txn("wk-2", &record));
+        let version = s.revision;
+        s.run(&Txn { guards: vec![old.clone()], apply: vec![put(epoch_key(), &2, None)] });
+        let hire = HireRecord {
+            machine_type: "x".into(),
+            zone: "z".into(),
+            spot: true,
+            count: 2,
+            machines: None,
+            up: Vec::new(),
+        };
+        assert!(!s.run(&complete_txn(&old, "wk-2", version, 1)));
+        assert!(!s.run(&hire_txn(&old, "a-1-1", 0, &hire)));
+        // The current leader's request is stored before the call, and once only: names are unique for ever.
+        let now = guard(epoch_key(), s.revision);
+        assert!(s.run(&hire_txn(&now, "a-1-1", 0, &hire)) && !s.run(&hire_txn(&now, "a-1-1", 0, &hire)));
+        // Without an answer it stays open, to be repeated under the same name; an answer closes it.
+        let version = s.revision;
+        let answered = HireRecord { machines: Some(Vec::new()), ..hire };
+        assert!(s.run(&hire_txn(&now, "a-1-1", version, &answered)) && !s.has(hire_key("a-1-1")));
+    }
+
     #[test]
     fn bits_survive_as_text() {
         let bits = vec![0, 255, 16, 7];
