--- a/src/node.rs
+++ b/src/node.rs
@@ -269,7 +269,7 @@
         if !fits {
             return Some("no allowed machine type is large enough");
         }
-        let at_once = if s.kind == Kind::Service { s.tasks as f64 } else { 1.0 };
+        let at_once = if s.kind == Kind::Array { 1.0 } else { s.tasks as f64 };
         let over = |each: f64, most: f64| most > 0.0 && each * at_once > most + 1e-9;
         (over(s.cpus, team.cpus_max) || over(s.gpus, team.gpus_max)).then_some("more than the team's limit")
     }
--- a/src/part.rs
+++ b/src/part.rs
@@ -104,8 +104,6 @@
     pub transfer_test: bool,
     /// Teams.
     pub teams: Vec<TeamQuota>,
-    /// Classes that are expected to start within a time, in seconds.
-    pub waits: HashMap<String, f64>,
 }
 
 impl Params {
@@ -120,14 +118,6 @@
             fetch_gb_per_s: s.operator.fetch_gb_per_s,
             transfer_test: s.operator.transfer_test,
             teams: s.platform.deployment.teams.iter().map(TeamQuota::new).collect(),
-            waits: s
-                .platform
-                .deployment
-                .objectives
-                .iter()
-                .filter(|o| o.kind == "wait")
-                .filter_map(|o| Some((o.class.clone()?, o.within_s?)))
-                .collect(),
         }
     }
 }
@@ -160,6 +150,8 @@
     direct: bool,
     /// The stop was sent straight to the worker.
     told: bool,
+    /// Its worker has listed it.
+    shown: bool,
 }
 
 /// Everything that can happen to a task.
@@ -252,8 +244,8 @@
     fn time_s(&self) -> f64 {
         match self.record.spec.kind {
             Kind::Service => 1e6,
-            Kind::Array if self.finished_n > 0 => self.mean_ms / 1000.0,
-            Kind::Array => self.record.spec.estimate_s.max(1.0),
+            Kind::Array | Kind::Gang if self.finished_n > 0 => self.mean_ms / 1000.0,
+            Kind::Array | Kind::Gang => self.record.spec.estimate_s.max(1.0),
         }
     }
 
@@ -801,11 +793,17 @@
         let now = self.now;
         let old = self.job(j).active.get(&t).copied();
         let next = match (step, old) {
-            (Step::Assign { machine, attempt }, None) => {
-                Some(Active { machine, attempt, phase: Phase::Assigned, since: now, direct: false, told: false })
-            }
+            (Step::Assign { machine, attempt }, None) => Some(Active {
+                machine,
+                attempt,
+                phase: Phase::Assigned,
+                since: now,
+                direct: false,
+                told: false,
+                shown: false,
+            }),
             (Step::Adopt { machine, attempt, phase }, None) => {
-                Some(Active { machine, attempt, phase, since: now, direct: false, told: false })
+                Some(Active { machine, attempt, phase, since: now, direct: false, told: false, shown: true })
             }
             (Step::Send { direct }, Some(a)) if a.phase == Phase::Assigned => {
                 Some(Active { phase: Phase::Sent, since: now, direct, ..a })
@@ -844,6 +842,15 @@
             }
             (None, None) => {}
         }
+        if let (Some(_), None) = (old, next) {
+            // A gang that has lost a task is stopped, to start again as a whole.
+            let job = self.job(j);
+            if job.record.spec.kind == Kind::Gang && !bit(&job.done, t) {
+                for other in job.active.keys().copied().collect::<Vec<_>>() {
+                    self.step(j, other, Step::Stop { save: self.job(j).record.spec.checkpoint_s > 0.0 });
+                }
+            }
+        }
         let runs = |a: Option<Active>| a.is_some_and(|a| matches!(a.phase, Phase::Running | Phase::Stopping { .. }));
         let job = self.job_mut(j);
         job.running = job.running + runs(next) as u32 - runs(old) as u32;
@@ -910,7 +917,7 @@
                 m.idle_since = Some(now);
                 self.enter(i, MachineState::Up, "reported");
             }
-            self.reconcile(i, r, &mut orders);
+            self.reconcile(i, r, live, &mut orders);
             if start {
                 self.place();
                 self.collect_starts(i, false, &mut orders);
@@ -920,9 +927,11 @@
         Taken::Reply(ReportReply { token, orders })
     }
 
-    /// The report is the newest under the current token: it is the truth about its machine, but for direct starts whose
-    /// answer is still out.
-    fn reconcile(&mut self, i: usize, r: &Report, orders: &mut Vec<Order>) {
+    /// The report is the newest under the current token: it is the truth about its machine, but for starts on their way:
+    /// direct ones whose answer is still out, and, where the report is the answer to direct orders (not `live`), those in
+    /// the response to a report, which the worker may not have received yet. Only its next report tells of these, since
+    /// it has one in flight at a time. (A direct stop that overtook such a start once made tasks run twice.)
+    fn reconcile(&mut self, i: usize, r: &Report, live: bool, orders: &mut Vec<Order>) {
         let mut listed = HashSet::new();
         for line in &r.tasks {
             let found = split_task(&line.task).and_then(|(job, t)| Some((*self.job_index.get(job)?, t)));
@@ -950,7 +959,8 @@
                 }
                 continue;
             }
-            let phase = if line.state == TaskState::Fetching { Phase::Fetching } else { Phase::Running };
+            let early = matches!(line.state, TaskState::Fetching | TaskState::Gathering);
+            let phase = if early { Phase::Fetching } else { Phase::Running };
             let job = self.job(j);
             if !job.active.contains_key(&t) && !bit(&job.done, t) {
                 self.step(j, t, Step::Adopt { machine: i, attempt: line.attempt, phase });
@@ -963,6 +973,9 @@
                 continue;
             };
             listed.insert((j, t));
+            if let Some(a) = self.job_mut(j).active.get_mut(&t) {
+                a.shown = true;
+            }
             if let Phase::Stopping { save } = a.phase {
                 if !(save && line.state == TaskState::Saving) {
                     let grace_s = if save { self.job(j).record.spec.save_s } else { 0.0 };
@@ -977,7 +990,8 @@
         let out = m.direct;
         for (j, t) in absent {
             let Some(a) = self.job(j).active.get(&t).copied() else { continue };
-            if a.phase != Phase::Assigned && !(out && a.direct) {
+            let under_way = !a.shown && if a.direct { out } else { !live };
+            if a.phase != Phase::Assigned && !under_way {
                 tracing::info!(job = %self.job(j).record.spec.id, task = t, machine = %self.machine(i).name, "task gone");
                 self.step(j, t, Step::Gone);
             }
@@ -1023,7 +1037,7 @@
     /// A task has ended on a machine. True if its line may be forgotten.
     fn exited(&mut self, i: usize, j: usize, t: u32, why: Option<Why>, active: Option<Active>) -> bool {
         let job = self.job(j);
-        if why == Some(Why::Done) && job.record.spec.kind == Kind::Array && !job.ended {
+        if why == Some(Why::Done) && job.record.spec.kind != Kind::Service && !job.ended {
             if !bit(&job.done, t) {
                 if job.active.contains_key(&t) && active.is_none() {
                     // The same task is at work elsewhere; this result is kept until that has ended.
@@ -1403,7 +1417,7 @@
             let other = self.jobs[*j].as_ref()?;
             let a = other.active.get(t)?;
             let spent = if a.phase == Phase::Running { self.now.saturating_sub(a.since) } else { 0 } as f64 / 1000.0;
-            (other.record.spec.kind == Kind::Array).then(|| (other.time_s() / c - spent).max(1.0))
+            (other.record.spec.kind != Kind::Service).then(|| (other.time_s() / c - spent).max(1.0))
         });
         let mut ends: Vec<f64> = rest.collect();
         ends.sort_by(f64::total_cmp);
@@ -1412,8 +1426,11 @@
 
     fn place_job(&mut self, j: usize) {
         let job = self.job(j);
-        let mut left = job.pending().min(self.quota_room(job)).min(2000);
-        if left == 0 {
+        let whole = job.record.spec.kind == Kind::Gang;
+        let most = if whole { u32::MAX } else { 2000 };
+        let mut left = job.pending().min(self.quota_room(job)).min(most);
+        // A gang starts whole or not at all: what is left of an earlier try must be gone first.
+        if left == 0 || (whole && (left < job.pending() || !job.active.is_empty())) {
             return;
         }
         let mut candidates = self.candidates(job);
@@ -1441,26 +1458,11 @@
         // With a zone cap a machine may get less than planned; the plan then covers all machines.
         let capped = job.record.spec.scatter;
         let plan = placement::plan(candidates, if capped { Ask { tasks: u32::MAX, ..ask } } else { ask });
-        // Where the transfer would outlast the time in which the class is expected to start, room on a holder is won
-        // from lower work instead. What is being stopped there is waited for.
-        let late = self.p.waits.get(&job.record.spec.class).is_some_and(|w| ask.transfer_s > *w);
-        if late && job.record.spec.priority == Priority::Production {
-            let image = job.image;
-            let strange = |m: usize| !self.machine(m).images.contains(&image);
-            let elsewhere: u32 = plan.now.iter().filter(|(m, _)| strange(*m)).map(|(_, n)| *n).sum();
-            if elsewhere > 0 {
-                let mut room = self.room_coming(|m| m.images.contains(&image));
-                let need = self.job(j).need;
-                let mut wait = 0;
-                for (m, r) in room.iter_mut().filter(|(m, _)| self.may_host(self.job(j), self.machine(**m))) {
-                    let n = fits(&need, r).saturating_sub(fits(&need, &self.machine(*m).room)).min(elsewhere - wait);
-                    *r = less(r, &need, n as u64);
-                    wait += n;
-                }
-                wait += self.preempt(j, elsewhere - wait, &mut room);
-                left = left.saturating_sub(wait);
-            }
+        if whole && plan.now.iter().map(|(_, n)| *n as u64).sum::<u64>() < left as u64 {
+            return;
         }
+        // A gang's tasks share an attempt.
+        self.attempts += whole as u64;
         for (machine, n) in plan.later {
             *self.waited.entry(machine).or_default() += n;
         }
@@ -1474,7 +1476,7 @@
                     break;
                 }
                 let Some(t) = self.job_mut(j).next_pending() else { return };
-                self.attempts += 1;
+                self.attempts += !whole as u64;
                 let attempt = (self.epoch << TOKEN_BITS) + self.attempts;
                 self.step(j, t, Step::Assign { machine, attempt });
                 left -= 1;
@@ -1483,8 +1485,8 @@
     }
 
     /// Room of open machines, with what is being stopped there.
-    fn room_coming(&self, of: impl Fn(&Machine) -> bool) -> HashMap<usize, Amounts> {
-        let open = self.machines().filter(|(_, m)| self.open(m) && of(m));
+    fn room_coming(&self) -> HashMap<usize, Amounts> {
+        let open = self.machines().filter(|(_, m)| self.open(m));
         open.map(|(i, m)| {
             let mut r = m.room;
             for (j, t) in &m.tasks {
@@ -1502,7 +1504,7 @@
     /// on the machines that are coming up.
     pub fn look_ahead(&mut self, preempt: bool) -> Vec<Need> {
         let unsettled = self.unsettled() > 0;
-        let mut room = self.room_coming(|_| true);
+        let mut room = self.room_coming();
         let waiting = |m: &Machine| m.state == MachineState::Waiting && !m.inherited && !self.overdue(m, 2.0);
         let mut coming: HashMap<usize, Amounts> =
             self.machines().filter(|(_, m)| waiting(m)).map(|(i, m)| (i, m.room)).collect();
@@ -1522,6 +1524,9 @@
             }
             let quota = (0..2).map(|r| team_left[team][r].checked_div(job.need[r]).unwrap_or(u64::MAX)).min();
             let mut left = job.pending().min(quota.unwrap_or(0).min(u32::MAX as u64) as u32);
+            if job.record.spec.kind == Kind::Gang && left < job.pending() {
+                continue;
+            }
             let taken = left as u64;
             team_left[team] = std::array::from_fn(|r| team_left[team][r].saturating_sub(job.need[r] * taken));
             let mut zones: HashMap<usize, u32> = HashMap::new();
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -57,7 +57,6 @@
             fetch_gb_per_s: 0.1,
             transfer_test: true,
             teams: vec![team("t", 0), team("u", 4000)],
-            waits: HashMap::new(),
         };
         let mut part = Part::new(params, 5, 100, 1000);
         let kind = MachineType {
@@ -478,3 +477,50 @@
     w.part.direct_answer(&probe[0], None);
     assert_eq!(w.part.machines().find(|(_, m)| m.name == "n-2").map(|(_, m)| m.counter), Some(0));
 }
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(JobSpec { kind: Kind::Gang, ..spec("wk-1", 6) }, 101);
+    assert!(starts(&w.tell("n-1", &[])).is_empty(), "four of six would fit");
+    w.machine("n-2", "a");
+    let mut got = starts(&w.tell("n-1", &[]));
+    let here: Vec<_> = got.iter().map(|g| (g.0.as_str(), g.1, TaskState::Gathering, None)).collect();
+    let there = starts(&w.tell("n-2", &[]));
+    assert_eq!(here.len() + there.len(), 6);
+    // One of them is lost: the others are stopped, and nothing of it starts before all are gone.
+    assert!(starts(&w.tell("n-1", &here[1..])).is_empty());
+    let lost = w.tell("n-1", &here[1..]);
+    assert_eq!((starts(&lost).len(), stops(&lost)), (0, here.len() - 1));
+    w.tell("n-1", &[]);
+    got.clear();
+    got.extend(starts(&w.tell("n-2", &[])));
+    got.extend(starts(&w.tell("n-1", &[])));
+    got.extend(starts(&w.tell("n-2", &[])));
+    assert_eq!(got.len(), 6);
+}
+
+#[test]
+fn a_direct_answer_says_nothing_of_a_start_in_a_response_under_way() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.machine("n-2", "a");
+    w.job(spec("wk-1", 1), 101);
+    // The start leaves in the response to a report. Before the worker has received it, it answers a direct order: it
+    // does not have the task yet, but will.
+    let got = starts(&w.tell("n-1", &[]));
+    assert_eq!(got.len(), 1);
+    let sent = Direct {
+        machine: "n-1".into(),
+        address: String::new(),
+        token: w.token(),
+        session: 1,
+        orders: vec![Order::Stop { task: got[0].0.clone(), attempt: got[0].1, grace_s: 0.0 }],
+    };
+    let answer = w.report("n-1", w.token(), &[]);
+    w.part.direct_answer(&sent, Some(&answer));
+    assert!(starts(&w.tell("n-2", &[])).is_empty());
+    // Its next report is the truth.
+    assert_eq!(starts(&w.tell("n-1", &[])).len() + starts(&w.tell("n-2", &[])).len(), 1);
+}
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -74,6 +74,9 @@
     /// Replicas that run until the job is cancelled.
     #[serde(rename = "daemon")]
     Service,
+    /// Tasks that run together and to completion: started whole or not at all.
+    #[serde(rename = "gang")]
+    Gang,
 }
 
 /// Priority classes, the highest first.
@@ -232,6 +235,9 @@
     /// Waiting for its image.
     #[serde(rename = "pulling")]
     Fetching,
+    /// Has its image and waits for the rest of its gang.
+    #[serde(rename = "gathering")]
+    Gathering,
     /// Running.
     #[serde(rename = "running")]
     Running,
