--- a/src/node.rs
+++ b/src/node.rs
@@ -888,6 +888,11 @@
             return Vec::new();
         }
         let needs = part.look_ahead(true);
+        let wanted: u32 = needs.iter().map(|n| n.tasks).sum();
+        let pending: u32 = part.jobs().map(|j| j.pending()).sum();
+        let used: u64 = part.loads().iter().map(|l| l.used).sum();
+        let cpus: u64 = part.loads().iter().map(|l| l.cpus).sum();
+        tracing::debug!(pending, wanted, used, cpus, "look ahead");
         let boot_s = part.types().iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min).min(600.0);
         core.fleet.surplus(part, &needs, idle_ms + (boot_s * 1000.0) as u64, now);
         core.fleet.returns(part, idle_ms, now);
--- a/src/part.rs
+++ b/src/part.rs
@@ -104,13 +104,24 @@
     pub transfer_test: bool,
     /// Teams.
     pub teams: Vec<TeamQuota>,
+    /// Classes whose jobs are expected to be finished within a time, in milliseconds.
+    pub finish_ms: HashMap<String, u64>,
 }
 
 impl Params {
     /// From the settings.
     pub fn new(s: &crate::config::Settings) -> Self {
         let w = &s.platform.deployment.workers;
+        let mut finish_ms: HashMap<String, u64> = HashMap::new();
+        for o in s.platform.deployment.objectives.iter().filter(|o| o.kind == "finished") {
+            if let (Some(class), Some(within_s)) = (&o.class, o.within_s) {
+                let ms = (within_s * 1000.0).max(0.0) as u64;
+                let known = finish_ms.entry(class.clone()).or_insert(ms);
+                *known = ms.min(*known);
+            }
+        }
         Params {
+            finish_ms,
             lease_ms: (w.lease_s * 1000.0) as u64,
             report_ms: (w.report_s * 1000.0) as u64,
             ride_ms: s.ride_ms(),
@@ -248,10 +259,6 @@
             Kind::Array | Kind::Gang => self.record.spec.estimate_s.max(1.0),
         }
     }
-
-    fn deadline(&self) -> Option<u64> {
-        self.record.spec.deadline_s.map(|d| self.submitted + (d * 1000.0) as u64)
-    }
 }
 
 /// Where a machine stands.
@@ -913,6 +920,9 @@
         if r.token == token {
             m.current = true;
             m.inherited = false;
+            // Also a report that changes nothing brings time: machines heard again, jobs that have backed off.
+            self.changed = true;
+            let m = self.machine_mut(i);
             if m.state == MachineState::Waiting {
                 m.idle_since = Some(now);
                 self.enter(i, MachineState::Up, "reported");
@@ -1268,14 +1278,31 @@
         }
         let now = self.now;
         all.retain(|i| self.job(*i).pending() > 0 && self.job(*i).not_before <= now);
-        all.sort_by_key(|i| {
+        all.sort_by_cached_key(|i| {
             let j = self.job(*i);
-            let due = j.deadline().unwrap_or(j.submitted + 600_000);
-            (j.record.spec.priority != Priority::Production, !j.within, j.record.spec.priority, due, *i)
+            let spec = &j.record.spec;
+            let (turn, work) = self.turn(j);
+            (spec.priority != Priority::Production, !j.within, spec.priority, turn, work, *i)
         });
         all
     }
 
+    /// A job's place among its equals: those that can still be in time, the shortest first, since a team's limit or a full
+    /// fleet makes some late and aims count jobs; then late ones, the oldest first, who come first once they are very late.
+    fn turn(&self, j: &Job) -> (u8, u64) {
+        let spec = &j.record.spec;
+        if spec.kind == Kind::Service {
+            return (1, j.submitted);
+        }
+        let span = spec.deadline_s.map(|d| (d * 1000.0) as u64).or(self.p.finish_ms.get(&spec.class).copied());
+        let age = self.now.saturating_sub(j.submitted);
+        match span {
+            Some(span) if age > span.saturating_mul(3) => (0, j.submitted),
+            Some(span) if age > span => (2, j.submitted),
+            _ => (1, ((j.tasks() - j.done_n) as f64 * j.time_s() * 1000.0) as u64),
+        }
+    }
+
     /// How many tasks of a job may be added for its team's limit.
     fn quota_room(&self, j: &Job) -> u32 {
         let Some(t) = j.team else { return 0 };
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -57,6 +57,7 @@
             fetch_gb_per_s: 0.1,
             transfer_test: true,
             teams: vec![team("t", 0), team("u", 4000)],
+            finish_ms: HashMap::new(),
         };
         let mut part = Part::new(params, 5, 100, 1000);
         let kind = MachineType {
