--- a/src/node.rs
+++ b/src/node.rs
@@ -85,6 +85,7 @@
     newest_epoch: u64,
     state_ok_at: u64,
     no_campaign_until: u64,
+    leads_since: u64,
     released: HashMap<String, u64>,
     gone: HashSet<String>,
     strangers: BTreeMap<String, (String, String, bool)>,
@@ -180,6 +181,7 @@
         for (id, v) in &self.mirror.stopping {
             part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, true);
         }
+        self.leads_since = now;
         tracing::info!(epoch, jobs = self.mirror.live.len(), hires = self.mirror.hires.len(), "epoch begins");
         self.part = Some(part);
     }
@@ -829,11 +831,10 @@
                 list_at = now;
                 self.list(gap).await;
             }
-            if self.settle_hires(gap).await {
-                continue;
-            }
+            let open = self.settle_hires(gap).await;
             for (offer, count) in self.decide() {
-                if self.hire(offer, count).await {
+                // While the answer to a request is unknown, its machines may be on their way.
+                if !open && self.hire(offer, count).await {
                     pause(gap).await;
                 } else {
                     break;
@@ -863,6 +864,11 @@
     /// What to rent and what to return.
     fn decide(&self) -> Vec<(Offer, u32)> {
         let mut core = self.core.borrow_mut();
+        // The calls before this one may have taken seconds: a leader cut off meanwhile once gave up machines that its
+        // heir was using.
+        if core.right() != Right::Full {
+            return Vec::new();
+        }
         let core = &mut *core;
         let now = core.begun.elapsed().as_millis() as u64 + 1000;
         let w = &core.settings.platform.deployment.workers;
@@ -902,6 +908,9 @@
     async fn release(&self) -> bool {
         let names: Vec<String> = {
             let core = self.core.borrow();
+            if core.right() != Right::Full {
+                return false;
+            }
             let Some(part) = core.part.as_ref() else { return false };
             let leaving = part.machines().filter(|(_, m)| m.state == MachineState::Releasing);
             leaving.map(|(_, m)| m.name.clone()).take(RELEASE_MOST).collect()
@@ -980,6 +989,10 @@
             pause(gap).await;
             let mut core = self.core.borrow_mut();
             let core = &mut *core;
+            // The list may still show what an earlier leader has released: an heir once took such machines in and counted
+            // on them for a minute. Workers that report are taken in at once.
+            let lag_ms = (core.settings.platform.deployment.cloud.list_lag_s * 2000.0) as u64 + 2000;
+            let settled = core.begun.elapsed().as_millis() as u64 > core.leads_since + lag_ms;
             let Some(part) = core.part.as_mut() else { return };
             after = machines.last().map(|m| m.id.clone()).unwrap_or_default();
             let known: HashMap<String, usize> = part.machines().map(|(i, m)| (m.name.clone(), i)).collect();
@@ -987,7 +1000,7 @@
                 match known.get(&m.id) {
                     Some(i) if m.state == "failed" => part.enter(*i, MachineState::Releasing, "failed"),
                     Some(_) => {}
-                    None if core.released.contains_key(&m.id) || core.strangers.len() > 1000 => {}
+                    None if !settled || core.released.contains_key(&m.id) || core.strangers.len() > 1000 => {}
                     None => {
                         core.strangers.insert(m.id, (m.machine_type, m.zone, m.spot));
                     }
@@ -1130,6 +1143,7 @@
             newest_epoch: 0,
             state_ok_at: 0,
             no_campaign_until: 0,
+            leads_since: 0,
             released: HashMap::new(),
             gone: HashSet::new(),
             strangers: BTreeMap::new(),
