--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -378,6 +378,12 @@
     w.job(JobSpec { together: true, ..spec("wk-4", 6) }, 101);
     let (a, b) = (starts(&w.tell("n-1", &[])).len(), starts(&w.tell("n-2", &[])).len());
     assert_eq!((a.max(b), a.min(b)), (4, 0), "all tasks in one zone");
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.machine("n-2", "b");
+    w.job(JobSpec { scatter: true, ..spec("wk-5", 3) }, 101);
+    let (a, b) = (starts(&w.tell("n-1", &[])).len(), starts(&w.tell("n-2", &[])).len());
+    assert_eq!((a.max(b), a.min(b)), (2, 1), "though one machine has room for all");
 }
 
 #[test]
