--- /dev/null
+++ b/src/node/leading.rs
@@ -0,0 +1,339 @@
+//! Leadership, and the leader's work: placing, sending, durable writes.
+
+use super::*;
+
+impl Shared {
+    pub(super) async fn leadership(self) {
+        let ttl = (self.core.borrow().settings.operator.hold_s * 1000.0) as u64;
+        loop {
+            let step = (ttl / 5).min(500);
+            let _ = tokio::time::timeout(Duration::from_millis(step), self.campaign.notified()).await;
+            let (reign, sent, free) = {
+                let core = self.core.borrow();
+                let now = core.now();
+                let free = core.mirror.loaded && core.mirror.leader.is_none() && now >= core.no_campaign_until;
+                (core.reign(), now, free)
+            };
+            if let Some((_, _, hold)) = reign {
+                let within = Duration::from_millis((ttl / 2).min(1000));
+                let renewed = self.noted(self.store.renew(hold, within).await);
+                let mut core = self.core.borrow_mut();
+                match renewed {
+                    Ok(()) => core.turn(Turn::Renewed(sent)),
+                    Err(StoreError::Gone) => core.turn(Turn::Ended),
+                    Err(_) if core.right() == Right::None => core.turn(Turn::Ended),
+                    Err(_) => {}
+                }
+            } else if free {
+                pause(rand::thread_rng().gen_range(0..60)).await;
+                if self.core.borrow().mirror.leader.is_none() {
+                    self.run_for_leader(ttl).await;
+                }
+            }
+        }
+    }
+
+    pub(super) async fn run_for_leader(&self, ttl: u64) {
+        let sent = {
+            let mut core = self.core.borrow_mut();
+            core.turn(Turn::Campaign);
+            core.now()
+        };
+        let won = match self.noted(self.store.open_hold(ttl).await) {
+            Ok(hold) => self.claim(hold).await,
+            Err(_) => None,
+        };
+        let Some((epoch, version, hold)) = won else {
+            self.core.borrow_mut().turn(Turn::Lost);
+            pause(100).await;
+            return;
+        };
+        self.core.borrow_mut().turn(Turn::Won { epoch, version, hold, sent });
+        // The mirror must have reached the epoch before anything is built on it.
+        let mut seen = self.revision.subscribe();
+        let wait = tokio::time::timeout(Duration::from_millis(ttl * 3 / 4), seen.wait_for(|r| *r >= version)).await;
+        let mut core = self.core.borrow_mut();
+        match wait {
+            Ok(Ok(_)) if core.reign().is_some() => core.rebuild(epoch),
+            _ => core.turn(Turn::Ended),
+        }
+    }
+
+    /// Claims leadership under a hold: the epoch's number and version.
+    pub(super) async fn claim(&self, hold: u64) -> Option<(u64, u64, u64)> {
+        let (me, number, version) = {
+            let mut core = self.core.borrow_mut();
+            let core = &mut *core;
+            let epoch = core.mirror.epoch.as_ref();
+            core.unlogged = epoch.is_some_and(|e| !e.record.logs_starts);
+            (core.me.clone(), epoch.map_or(0, |e| e.record.number) + 1, epoch.map_or(0, |e| e.version))
+        };
+        let members = vec![me.clone()];
+        let record = store::EpochRecord { number, leader: me.clone(), members, logs_starts: true };
+        let txn = Txn {
+            guards: vec![guard(store::leader_key(), 0), guard(store::epoch_key(), version)],
+            apply: vec![put(store::leader_key(), &me, Some(hold)), put(store::epoch_key(), &record, None)],
+        };
+        match self.txn(&txn).await {
+            Ok(Decided::Applied(revision)) => return Some((number, revision, hold)),
+            Err(StoreError::Unknown) => {
+                let read = self.noted(self.store.get::<store::EpochRecord>(&store::epoch_key()).await);
+                let held = self.noted(self.store.get::<LeaderRecord>(&store::leader_key()).await);
+                if let (Ok(e), Ok(l)) = (read, held) {
+                    if e.record == record && l.record == me && l.version == e.version {
+                        return Some((number, e.version, hold));
+                    }
+                }
+            }
+            _ => {}
+        }
+        self.store.close_hold(hold).await;
+        None
+    }
+
+    pub(super) async fn ticks(self) {
+        let most = {
+            let core = self.core.borrow();
+            (core.settings.platform.deployment.machine_limits.max_connections / 16).clamp(8, 64)
+        };
+        let flying = Rc::new(Cell::new(0usize));
+        let (mut tick_at, mut stir_at, mut place_at) = (0, 0, 0);
+        loop {
+            let _ = tokio::time::timeout(Duration::from_millis(TICK_MS), self.urgent.notified()).await;
+            let sends = {
+                let mut core = self.core.borrow_mut();
+                let now = core.now();
+                let right = core.right();
+                let (direct, begun) = (core.settings.operator.direct_starts, core.begun);
+                let Some(part) = core.part.as_mut() else { continue };
+                part.at(now);
+                if now >= tick_at {
+                    tick_at = now + TICK_MS;
+                    part.tick(now);
+                }
+                if right != Right::Full {
+                    continue;
+                }
+                if now >= stir_at {
+                    stir_at = now + 5 * TICK_MS;
+                    part.stir();
+                }
+                if now >= place_at {
+                    let from = begun.elapsed();
+                    part.place();
+                    // Passes take a fifth of the time at most, however long one takes on this machine.
+                    place_at = now + 2 * PASS_MS.max(2 * (begun.elapsed() - from).as_millis() as u64);
+                }
+                let room = most.saturating_sub(flying.get());
+                let mut sends = if direct { part.direct(room) } else { Vec::new() };
+                sends.extend(part.probes((room - sends.len().min(room)).min(most / 4)));
+                sends
+            };
+            self.logging.notify_one();
+            for d in sends {
+                let me = self.clone();
+                let flying = flying.clone();
+                let epoch = self.core.borrow().reign();
+                flying.set(flying.get() + 1);
+                actix::spawn(async move {
+                    let answer = worker::send_direct(&me.workers, &d).await;
+                    flying.set(flying.get() - 1);
+                    let mut core = me.core.borrow_mut();
+                    // An answer for an earlier epoch means nothing to this one.
+                    if core.reign() == epoch {
+                        let now = core.now();
+                        if let Some(part) = core.part.as_mut() {
+                            part.at(now);
+                            part.direct_answer(&d, answer.as_ref());
+                            me.urgent.notify_one();
+                        }
+                    }
+                });
+            }
+            // One round for all the reports of a moment.
+            pause(PASS_MS).await;
+        }
+    }
+
+    /// Writes the start log: one append at a time, so that the order of writes is that of the assignments.
+    pub(super) async fn start_log(self) {
+        let (limit, pace) = {
+            let core = self.core.borrow();
+            let s = &core.settings.platform.deployment.state;
+            // The value's quotes, and the rest of the transaction.
+            let limit = ((s.value_kb * 1024.0) as usize).min(60 << 10).saturating_sub(64);
+            (limit, (4000.0 / s.write_rps) as u64)
+        };
+        loop {
+            self.logging.notified().await;
+            let (append, reign) = {
+                let mut core = self.core.borrow_mut();
+                let Some(reign) = core.reign().filter(|_| core.right() == Right::Full) else { continue };
+                let Some(append) = core.part.as_mut().and_then(|p| p.append(limit)) else { continue };
+                (append, reign)
+            };
+            let key = store::starts_key(append.slot);
+            let txn = Txn {
+                guards: vec![guard(store::epoch_key(), reign.1), guard(key.clone(), append.version)],
+                apply: vec![put(key.clone(), &append.text, None)],
+            };
+            let done = self.txn(&txn).await;
+            // Without an answer, or if an unanswered earlier one went through: what does the slot hold?
+            let found = match done {
+                Ok(Decided::Applied(_)) | Err(StoreError::Busy | StoreError::Refused) => None,
+                _ => self.noted(self.store.get::<String>(&key).await).ok(),
+            };
+            {
+                let mut core = self.core.borrow_mut();
+                if core.reign() != Some(reign) {
+                    continue;
+                }
+                let Some(part) = core.part.as_mut() else { continue };
+                match (done, found) {
+                    (Ok(Decided::Applied(version)), _) => part.appended(append, version),
+                    (_, Some(f)) if f.record == append.text => part.appended(append, f.version),
+                    (_, found) => part.not_appended(append, found.as_ref().map(|f| (f.version, f.record.as_str()))),
+                }
+            }
+            self.urgent.notify_one();
+            pause(pace).await;
+        }
+    }
+
+    /// Makes results durable and clears up, in batches.
+    pub(super) async fn flush(self) {
+        // Results wait on their machines until they are stored, so that they need not be written at once: a quarter of
+        // the changes is theirs, the oldest first.
+        let (ops, rows) = {
+            let s = &self.core.borrow().settings.platform.deployment.state;
+            (s.txn_ops, ((s.write_rps * FLUSH_MS as f64 / 4000.0) as usize).clamp(1, s.txn_ops))
+        };
+        loop {
+            pause(FLUSH_MS).await;
+            let version = {
+                let core = self.core.borrow();
+                match core.reign() {
+                    Some((_, version, _)) if core.right() == Right::Full && core.part.is_some() => version,
+                    _ => continue,
+                }
+            };
+            let epoch = guard(store::epoch_key(), version);
+            self.flush_complete(&epoch).await;
+            self.flush_ranges(&epoch, rows).await;
+            self.flush_machines(&epoch, rows).await;
+            self.sweep(&epoch, rows.min(ops)).await;
+        }
+    }
+
+    pub(super) async fn flush_complete(&self, epoch: &wire::Guard) {
+        let complete = self.core.borrow().part.as_ref().map(|p| p.complete_jobs()).unwrap_or_default();
+        for (id, version, tasks) in complete.into_iter().take(8) {
+            let over = OverRecord { cancelled: false, tasks };
+            let txn = store::complete_txn(epoch, &id, version, tasks);
+            // If it failed, the job was cancelled, or an unanswered try went through: the watch tells.
+            if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
+                tracing::info!(job = %id, tasks, "job done");
+                let mut core = self.core.borrow_mut();
+                core.mirror.remember_over(&id, over);
+                if let Some(p) = core.part.as_mut() {
+                    p.drop_job(&id);
+                }
+            }
+        }
+    }
+
+    pub(super) async fn flush_ranges(&self, epoch: &wire::Guard, most: usize) {
+        let rows = self.core.borrow().part.as_ref().map(|p| p.unsaved(most)).unwrap_or_default();
+        if rows.is_empty() {
+            return;
+        }
+        let mut txn = Txn { guards: vec![epoch.clone()], apply: Vec::new() };
+        for row in &rows {
+            let known = self.core.borrow().mirror.done.get(&(row.job.clone(), row.chunk)).map_or(0, |v| v.version);
+            let live = guard(store::live_key(&row.job), row.version);
+            if !txn.guards.contains(&live) {
+                txn.guards.push(live);
+            }
+            let key = store::done_key(&row.job, row.chunk);
+            txn.guards.push(guard(key.clone(), known));
+            txn.apply.push(put(key, &store::bits_to_text(&row.bits), None));
+        }
+        match self.txn(&txn).await {
+            Ok(Decided::Applied(_)) => {
+                let mut core = self.core.borrow_mut();
+                if let Some(p) = core.part.as_mut() {
+                    rows.iter().for_each(|r| p.saved(r));
+                }
+            }
+            // The mirror lags behind an earlier write, or a job has just ended; either shows shortly.
+            Ok(Decided::Failed(keys)) => tracing::debug!(?keys, "ranges not stored yet"),
+            Err(_) => {}
+        }
+    }
+
+    /// Forgets machines that are gone.
+    pub(super) async fn flush_machines(&self, epoch: &wire::Guard, ops: usize) {
+        let (mut txn, mut forgotten) = (Txn { guards: vec![epoch.clone()], apply: Vec::new() }, Vec::new());
+        {
+            let core = self.core.borrow();
+            if core.gone.is_empty() {
+                return;
+            }
+            for (name, h) in &core.mirror.hires {
+                let Some(machines) = &h.record.machines else { continue };
+                let gone = machines.iter().any(|m| core.gone.contains(m)) || machines.is_empty();
+                if !gone || txn.apply.len() >= ops {
+                    continue;
+                }
+                let (out, left): (Vec<String>, Vec<String>) =
+                    machines.iter().cloned().partition(|m| core.gone.contains(m));
+                forgotten.extend(out);
+                let key = store::hire_key(name);
+                txn.guards.push(guard(key.clone(), h.version));
+                txn.apply.push(if left.is_empty() {
+                    wire::Change::Delete { key }
+                } else {
+                    put(key, &HireRecord { machines: Some(left), ..h.record.clone() }, None)
+                });
+            }
+        }
+        if !txn.apply.is_empty() {
+            if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
+                let mut core = self.core.borrow_mut();
+                forgotten.iter().for_each(|m| {
+                    core.gone.remove(m);
+                });
+            }
+        }
+    }
+
+    /// Drops what finished and cancelled jobs have left behind.
+    pub(super) async fn sweep(&self, epoch: &wire::Guard, ops: usize) {
+        let mut txn = Txn { guards: vec![epoch.clone()], apply: Vec::new() };
+        {
+            let mut core = self.core.borrow_mut();
+            let core = &mut *core;
+            let Some(part) = core.part.as_mut() else { return };
+            for id in part.stopped_jobs() {
+                tracing::info!(job = %id, "job ended");
+            }
+            let mut add = |key: String, version: u64| {
+                if txn.apply.len() < ops {
+                    txn.guards.push(guard(key.clone(), version));
+                    txn.apply.push(wire::Change::Delete { key });
+                }
+            };
+            for (id, v) in core.mirror.stopping.iter().filter(|(id, _)| !part.has_job(id)) {
+                add(store::stopping_key(id), v.version);
+            }
+            for ((id, chunk), v) in &core.mirror.done {
+                if !core.mirror.live.contains_key(id) && !core.mirror.stopping.contains_key(id) {
+                    add(store::done_key(id, *chunk), v.version);
+                }
+            }
+        }
+        if !txn.apply.is_empty() {
+            let _ = self.txn(&txn).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,597 @@
+//! A controller: the actor that joins the pure parts to the state service, the cloud, the workers and the users.
+
+mod leading;
+mod renting;
+mod users;
+
+use crate::cloud::{CloudClient, Rented, RELEASE_MOST};
+use crate::config::Settings;
+use crate::fleet::{Fleet, Offer};
+use crate::leader::{Leadership, Right, Role, Turn};
+use crate::part::{Direct, MachineState, Params, Part, Taken};
+use crate::peer::{self, View};
+use crate::protocol::{
+    self as wire, JobSpec, JobState, JobView, Kind, MachineType, RentRequest, Report, ReportReply, Txn,
+};
+use crate::store::{
+    self, guard, put, Decided, HireRecord, LeaderRecord, LiveRecord, Mirror, OverRecord, Seen, StoreClient, StoreError,
+};
+use crate::worker;
+use actix::prelude::*;
+use rand::Rng;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, watch, Notify};
+
+/// A user submits a job.
+#[derive(Message)]
+#[rtype(result = "Answer")]
+pub struct Submit(pub JobSpec);
+/// A user asks about a job.
+#[derive(Message)]
+#[rtype(result = "Answer")]
+pub struct Poll(pub String);
+/// A user cancels a job.
+#[derive(Message)]
+#[rtype(result = "Answer")]
+pub struct Abort(pub String);
+/// A health check.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Health;
+/// A worker reports.
+#[derive(Message)]
+#[rtype(result = "WorkerAnswer")]
+pub struct WorkerReport(pub Report);
+/// Another controller tells its view.
+#[derive(Message)]
+#[rtype(result = "View")]
+pub struct PeerView(pub View);
+
+/// What a user is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    /// A job's state, with the status.
+    Job(u16, JobView),
+    /// Never accepted.
+    Unknown,
+    /// Can never run.
+    Never(&'static str),
+    /// Ask again.
+    Later,
+}
+
+/// What a worker is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WorkerAnswer {
+    /// Commands.
+    Reply(ReportReply),
+    /// Another node is in charge.
+    Elsewhere(Option<String>),
+    /// Nobody is known to be.
+    Later,
+}
+
+/// Most machines in no hire that are looked at at a time.
+const STRANGERS: usize = 1000;
+
+/// A machine in no hire.
+struct Stranger {
+    machine_type: String,
+    zone: String,
+    spot: bool,
+    /// Its worker's address and session, if it is known by a report only: that may be a late copy, long after the
+    /// machine was released, so that the worker is asked first.
+    ask: Option<(String, u64)>,
+}
+
+/// What the loops share; borrowed for short moments only, never across a wait.
+struct Core {
+    settings: Settings,
+    begun: Instant,
+    me: LeaderRecord,
+    mirror: Mirror,
+    lead: Leadership,
+    part: Option<Part>,
+    fleet: Fleet,
+    types: Vec<MachineType>,
+    counts: HashMap<String, (u32, u32)>,
+    peers_ok: HashMap<String, (u64, bool)>,
+    newest_epoch: u64,
+    state_ok_at: u64,
+    no_campaign_until: u64,
+    leads_since: u64,
+    /// The epoch before this node's own kept no start log.
+    unlogged: bool,
+    released: HashMap<String, u64>,
+    gone: HashSet<String>,
+    strangers: BTreeMap<String, Stranger>,
+    hires: u64,
+    readers: Vec<oneshot::Sender<u64>>,
+}
+
+impl Core {
+    fn now(&self) -> u64 {
+        self.begun.elapsed().as_millis() as u64 + 1000
+    }
+
+    fn wall(&self) -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+    }
+
+    fn right(&self) -> Right {
+        self.lead.right(self.now())
+    }
+
+    /// Number, version of the epoch key and hold, while leading.
+    fn reign(&self) -> Option<(u64, u64, u64)> {
+        match *self.lead.role() {
+            Role::Leading { epoch, version, hold } => Some((epoch, version, hold)),
+            _ => None,
+        }
+    }
+
+    fn turn(&mut self, turn: Turn) {
+        if self.lead.turn(turn) && self.reign().is_none() {
+            self.part = None;
+            self.strangers.clear();
+            self.gone.clear();
+        }
+    }
+
+    fn take_types(&mut self, types: &[MachineType]) {
+        self.types = types.to_vec();
+        if let Some(p) = &mut self.part {
+            p.set_types(types);
+        }
+    }
+
+    fn seen(&mut self, seen: Vec<Seen>, retry: &Notify) {
+        let wall = self.wall();
+        let now = self.now();
+        for s in seen {
+            match s {
+                Seen::Job(id) => {
+                    let (Some(part), Some(v)) = (self.part.as_mut(), self.mirror.live.get(&id)) else { continue };
+                    part.at(now);
+                    let done = done_rows(&self.mirror, &id);
+                    part.add_job(v.record.clone(), v.version, &done, wall, false);
+                }
+                Seen::JobGone(id) => {
+                    self.counts.remove(&id);
+                    if let Some(part) = self.part.as_mut() {
+                        part.at(now);
+                        part.drop_job(&id);
+                    }
+                }
+                Seen::LeaderGone => retry.notify_one(),
+                Seen::Catalogue => {
+                    if let Some(c) = &self.mirror.catalogue {
+                        let types = c.record.clone();
+                        self.take_types(&types);
+                    }
+                }
+            }
+        }
+        let number = self.mirror.epoch.as_ref().map_or(0, |e| e.record.number);
+        self.newest_epoch = self.newest_epoch.max(number);
+        if self.reign().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
+            self.turn(Turn::Ended);
+        }
+    }
+
+    /// Builds the part of a new epoch from the store.
+    fn rebuild(&mut self, epoch: u64) {
+        let (now, wall) = (self.now(), self.wall());
+        let mut part = Part::new(Params::new(&self.settings), epoch, now);
+        part.set_types(&self.types);
+        for (name, h) in &self.mirror.hires {
+            let h = &h.record;
+            for machine in h.machines.iter().flatten() {
+                part.add_machine(machine, name, (&h.machine_type, &h.zone, h.spot));
+            }
+        }
+        for (id, v) in &self.mirror.live {
+            part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, false);
+        }
+        for (id, v) in &self.mirror.stopping {
+            part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, true);
+        }
+        part.inherit(self.mirror.starts.iter().map(|(slot, v)| (*slot, v.version, v.record.as_str())));
+        if self.unlogged {
+            part.outwait();
+        }
+        self.leads_since = now;
+        let (jobs, hires) = (self.mirror.live.len(), self.mirror.hires.len());
+        tracing::info!(epoch, jobs, hires, unsettled = part.unsettled(), "epoch begins");
+        self.part = Some(part);
+    }
+
+    fn view(&self, id: &str) -> Option<JobView> {
+        if let Some(over) = self.mirror.over(id) {
+            return Some(over_view(id, over));
+        }
+        let counts = self.part.as_ref().and_then(|p| p.counts(id)).or(self.counts.get(id).copied());
+        self.mirror.live.get(id)?;
+        let (done, running) = counts.unwrap_or_default();
+        let state = if running > 0 { JobState::Running } else { JobState::Queued };
+        Some(JobView { id: id.into(), state, done: Some(done), running: Some(running) })
+    }
+
+    fn own_view(&self) -> View {
+        let counts = self.part.as_ref().filter(|_| self.right() != Right::None).map(|p| p.all_counts());
+        View { node: self.me.node.clone(), epoch: self.newest_epoch, state_ok: self.state_ok(), counts }
+    }
+
+    fn state_ok(&self) -> bool {
+        self.now() < self.state_ok_at + 2500
+    }
+
+    fn take_view(&mut self, v: View) {
+        let now = self.now();
+        if v.epoch > self.newest_epoch {
+            self.newest_epoch = v.epoch;
+        }
+        if self.reign().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
+            self.turn(Turn::Ended);
+        }
+        if let Some(counts) = v.counts.filter(|_| self.part.is_none() && v.epoch >= self.newest_epoch) {
+            self.counts = counts.into_iter().map(|(id, done, running)| (id, (done, running))).collect();
+        }
+        self.peers_ok.insert(v.node, (now, v.state_ok));
+    }
+
+    /// Whether this node should get users: it is loaded, and if the state service refuses it, then not it alone.
+    fn healthy(&self) -> bool {
+        let now = self.now();
+        let other_ok = self.peers_ok.values().any(|(at, ok)| *ok && now < at + 3000);
+        self.mirror.loaded && !self.types.is_empty() && (self.state_ok() || !other_ok)
+    }
+
+    fn report(&mut self, r: &Report) -> WorkerAnswer {
+        let now = self.now();
+        let right = self.right();
+        let leader = self.mirror.leader.as_ref().map(|l| l.record.node.clone());
+        let elsewhere = |l: Option<String>, me: &str| match l.filter(|l| l != me) {
+            Some(l) => WorkerAnswer::Elsewhere(Some(l)),
+            None => WorkerAnswer::Later,
+        };
+        if right == Right::None {
+            return elsewhere(leader, &self.me.node);
+        }
+        let Some(part) = self.part.as_mut() else { return WorkerAnswer::Later };
+        part.at(now);
+        match part.report(r, true, right == Right::Full) {
+            Taken::Reply(reply) => WorkerAnswer::Reply(reply),
+            Taken::Superseded => {
+                self.turn(Turn::Ended);
+                WorkerAnswer::Later
+            }
+            Taken::Stranger => {
+                if !self.released.contains_key(&r.machine) && self.strangers.len() < STRANGERS {
+                    let (machine_type, zone) = (r.machine_type.clone(), r.zone.clone());
+                    let ask = Some((r.address.clone(), r.session));
+                    self.strangers.insert(r.machine.clone(), Stranger { machine_type, zone, spot: r.spot, ask });
+                }
+                WorkerAnswer::Later
+            }
+        }
+    }
+
+    /// The checks behind a 422.
+    fn impossible(&self, s: &JobSpec) -> Option<&'static str> {
+        let Some(team) = self.settings.platform.deployment.teams.iter().find(|t| t.name == s.team) else {
+            return Some("unknown team");
+        };
+        let fits = self.types.iter().any(|t| {
+            s.types.as_ref().is_none_or(|l| l.contains(&t.name))
+                && s.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && s.cpus <= t.cpus
+                && s.gpus <= t.gpus
+                && s.memory_gb <= t.memory_gb
+        });
+        if !fits {
+            return Some("no allowed machine type is large enough");
+        }
+        let at_once = if s.kind == Kind::Array { 1.0 } else { s.tasks as f64 };
+        let over = |each: f64, most: f64| most > 0.0 && each * at_once > most + 1e-9;
+        (over(s.cpus, team.cpus_max) || over(s.gpus, team.gpus_max)).then_some("more than the team's limit")
+    }
+}
+
+fn done_rows(mirror: &Mirror, job: &str) -> Vec<(u32, Vec<u8>)> {
+    let from = (job.to_string(), 0);
+    let rows = mirror.done.range(from..).take_while(|((j, _), _)| j == job);
+    rows.map(|((_, chunk), v)| (*chunk, v.record.clone())).collect()
+}
+
+fn over_view(id: &str, over: OverRecord) -> JobView {
+    let (state, done) = if over.cancelled { (JobState::Cancelled, 0) } else { (JobState::Done, over.tasks) };
+    JobView { id: id.into(), state, done: Some(done), running: Some(0) }
+}
+
+/// The handles that the loops share.
+#[derive(Clone)]
+struct Shared {
+    core: Rc<RefCell<Core>>,
+    store: StoreClient,
+    cloud: CloudClient,
+    http: awc::Client,
+    revision: Rc<watch::Sender<u64>>,
+    campaign: Rc<Notify>,
+    reading: Rc<Notify>,
+    /// Something may have to be placed or sent at once.
+    urgent: Rc<Notify>,
+    /// Starts may wait for their lines in the log.
+    logging: Rc<Notify>,
+    /// For calls to workers, of which there are many: their connections are not kept long.
+    workers: awc::Client,
+}
+
+/// Time between looks at what time alone brings.
+const TICK_MS: u64 = 100;
+/// Least time between two rounds of placing and sending.
+const PASS_MS: u64 = 20;
+/// Time between rounds of durable writes of the leader.
+const FLUSH_MS: u64 = 500;
+
+fn pause(ms: u64) -> tokio::time::Sleep {
+    tokio::time::sleep(Duration::from_millis(ms))
+}
+
+impl Shared {
+    /// Notes whether the state service answers.
+    fn noted<T>(&self, r: Result<T, StoreError>) -> Result<T, StoreError> {
+        if matches!(r, Ok(_) | Err(StoreError::Gone | StoreError::Busy)) {
+            let mut core = self.core.borrow_mut();
+            core.state_ok_at = core.now();
+        }
+        r
+    }
+
+    /// Runs a transaction; over the rate, tries again for a moment.
+    async fn txn(&self, txn: &Txn) -> Result<Decided, StoreError> {
+        let mut tries = 0;
+        loop {
+            let r = self.noted(self.store.txn(txn).await);
+            if r != Err(StoreError::Busy) || tries == 6 {
+                return r;
+            }
+            tries += 1;
+            pause(rand::thread_rng().gen_range(40..160)).await;
+        }
+    }
+
+    async fn sync(self) {
+        let (rps, nodes) = {
+            let c = self.core.borrow();
+            (c.settings.platform.deployment.state.rps, c.settings.platform.peers.len() + 1)
+        };
+        // A quarter of the request budget goes to watches, shared among the nodes.
+        let pace = ((4000.0 * nodes as f64 / rps) as u64).clamp(20, 1000);
+        let mut loaded = false;
+        loop {
+            if !loaded {
+                match self.noted(self.store.load().await) {
+                    Ok(fresh) => {
+                        let revision = fresh.revision;
+                        {
+                            let mut core = self.core.borrow_mut();
+                            let seen = core.mirror.replace(fresh);
+                            core.seen(seen, &self.campaign);
+                        }
+                        self.revision.send_replace(revision);
+                        loaded = true;
+                        self.campaign.notify_one();
+                    }
+                    Err(_) => {
+                        pause(300).await;
+                        continue;
+                    }
+                }
+            }
+            let after = self.core.borrow().mirror.revision;
+            match self.noted(self.store.watch(after, 4000).await) {
+                Ok(w) => {
+                    let quiet = w.events.is_empty();
+                    {
+                        let mut core = self.core.borrow_mut();
+                        let seen = core.mirror.apply(w.revision, &w.events);
+                        core.seen(seen, &self.campaign);
+                    }
+                    self.revision.send_replace(w.revision);
+                    self.urgent.notify_one();
+                    if !quiet {
+                        pause(pace).await;
+                    }
+                }
+                Err(StoreError::Gone) => {
+                    tracing::info!("watch too old, reading everything again");
+                    loaded = false;
+                }
+                Err(_) => pause(250).await,
+            }
+        }
+    }
+
+    /// Answers readers: one compare-only transaction gives the revision that their answers must have reached.
+    async fn read_barrier(self) {
+        loop {
+            self.reading.notified().await;
+            pause(40).await;
+            let (readers, txn) = {
+                let mut core = self.core.borrow_mut();
+                let version = core.mirror.epoch.as_ref().map_or(0, |e| e.version);
+                let txn = Txn { guards: vec![guard(store::epoch_key(), version)], apply: Vec::new() };
+                (std::mem::take(&mut core.readers), txn)
+            };
+            if readers.is_empty() {
+                continue;
+            }
+            let http = self.clone();
+            actix::spawn(async move {
+                if let Ok(revision) = http.noted(http.store.barrier(&txn).await) {
+                    readers.into_iter().for_each(|r| {
+                        let _ = r.send(revision);
+                    });
+                }
+            });
+            pause(60).await;
+        }
+    }
+
+    /// Waits until the mirror is at least as new as this moment.
+    async fn current(&self) -> bool {
+        let (tx, rx) = oneshot::channel();
+        self.core.borrow_mut().readers.push(tx);
+        self.reading.notify_one();
+        let wait = async {
+            let revision = rx.await.ok()?;
+            let mut seen = self.revision.subscribe();
+            seen.wait_for(|r| *r >= revision).await.ok()?;
+            Some(())
+        };
+        matches!(tokio::time::timeout(Duration::from_millis(1500), wait).await, Ok(Some(())))
+    }
+
+    async fn peers(self) {
+        let peers = self.core.borrow().settings.platform.peers.clone();
+        loop {
+            pause(900).await;
+            for p in &peers {
+                let me = self.clone();
+                let (addr, own) = (p.peer_addr, View { counts: None, ..self.core.borrow().own_view() });
+                actix::spawn(async move {
+                    if let Some(v) = peer::ask(&me.http, addr, &own).await {
+                        me.core.borrow_mut().take_view(v);
+                    }
+                });
+            }
+        }
+    }
+}
+
+/// The actor.
+pub struct Node {
+    shared: Shared,
+}
+
+impl Node {
+    /// A node that has yet to be started.
+    fn new(settings: Settings) -> Node {
+        let connections = (settings.platform.deployment.machine_limits.max_connections / 8).clamp(8, 100);
+        let http = worker::http_client(connections, 20);
+        let me =
+            LeaderRecord { node: settings.platform.node.clone(), incarnation: rand::thread_rng().gen::<u64>() >> 1 };
+        let ttl = (settings.operator.hold_s * 1000.0) as u64;
+        let external = settings.platform.external.clone();
+        let core = Core {
+            lead: Leadership::new(ttl, settings.ride_ms()),
+            settings,
+            begun: Instant::now(),
+            me,
+            mirror: Mirror::default(),
+            part: None,
+            fleet: Fleet::default(),
+            types: Vec::new(),
+            counts: HashMap::new(),
+            peers_ok: HashMap::new(),
+            newest_epoch: 0,
+            state_ok_at: 0,
+            no_campaign_until: 0,
+            leads_since: 0,
+            unlogged: false,
+            released: HashMap::new(),
+            gone: HashSet::new(),
+            strangers: BTreeMap::new(),
+            hires: 0,
+            readers: Vec::new(),
+        };
+        let shared = Shared {
+            core: Rc::new(RefCell::new(core)),
+            store: StoreClient::new(http.clone(), external.state),
+            cloud: CloudClient::new(http.clone(), external.cloud),
+            http,
+            revision: Rc::new(watch::channel(0).0),
+            campaign: Rc::new(Notify::new()),
+            reading: Rc::new(Notify::new()),
+            urgent: Rc::new(Notify::new()),
+            logging: Rc::new(Notify::new()),
+            workers: worker::http_client(connections, 1),
+        };
+        Node { shared }
+    }
+}
+
+impl Actor for Node {
+    type Context = Context<Self>;
+
+    fn started(&mut self, _: &mut Self::Context) {
+        let s = &self.shared;
+        actix::spawn(s.clone().sync());
+        actix::spawn(s.clone().read_barrier());
+        actix::spawn(s.clone().leadership());
+        actix::spawn(s.clone().ticks());
+        actix::spawn(s.clone().start_log());
+        actix::spawn(s.clone().flush());
+        actix::spawn(s.clone().fleet());
+        actix::spawn(s.clone().peers());
+    }
+}
+
+impl Handler<Submit> for Node {
+    type Result = ResponseFuture<Answer>;
+    fn handle(&mut self, m: Submit, _: &mut Self::Context) -> Self::Result {
+        Box::pin(self.shared.clone().submit(m.0))
+    }
+}
+
+impl Handler<Poll> for Node {
+    type Result = ResponseFuture<Answer>;
+    fn handle(&mut self, m: Poll, _: &mut Self::Context) -> Self::Result {
+        Box::pin(self.shared.clone().poll(m.0))
+    }
+}
+
+impl Handler<Abort> for Node {
+    type Result = ResponseFuture<Answer>;
+    fn handle(&mut self, m: Abort, _: &mut Self::Context) -> Self::Result {
+        Box::pin(self.shared.clone().abort(m.0))
+    }
+}
+
+impl Handler<Health> for Node {
+    type Result = bool;
+    fn handle(&mut self, _: Health, _: &mut Self::Context) -> bool {
+        self.shared.core.borrow().healthy()
+    }
+}
+
+impl Handler<WorkerReport> for Node {
+    type Result = MessageResult<WorkerReport>;
+    fn handle(&mut self, m: WorkerReport, _: &mut Self::Context) -> Self::Result {
+        self.shared.urgent.notify_one();
+        MessageResult(self.shared.core.borrow_mut().report(&m.0))
+    }
+}
+
+impl Handler<PeerView> for Node {
+    type Result = MessageResult<PeerView>;
+    fn handle(&mut self, m: PeerView, _: &mut Self::Context) -> Self::Result {
+        let mut core = self.shared.core.borrow_mut();
+        core.take_view(m.0);
+        MessageResult(core.own_view())
+    }
+}
+
+/// Runs a controller until its process ends.
+pub fn run(settings: Settings) -> std::io::Result<()> {
+    let platform = settings.platform.clone();
+    let connections = (platform.deployment.machine_limits.max_connections * 7 / 10).max(8);
+    actix::System::new().block_on(async move {
+        let node = Node::new(settings).start();
+        crate::api::serve(node, platform.api_addr, platform.internal_addr, connections).await
+    })
+}
--- /dev/null
+++ b/src/node/renting.rs
@@ -0,0 +1,304 @@
+//! The leader's dealings with the cloud.
+
+use super::*;
+
+impl Shared {
+    pub(super) async fn fleet(self) {
+        let (gap, list_ms) = {
+            let c = &self.core.borrow().settings.platform.deployment.cloud;
+            ((1000.0 / c.rps) as u64 + 50, ((c.list_lag_s * 500.0) as u64).max(4000))
+        };
+        let (mut types_at, mut list_at) = (None::<u64>, 0);
+        loop {
+            pause(200).await;
+            let now = self.core.borrow().now();
+            let (leads, typeless) = {
+                let core = self.core.borrow();
+                (core.reign().is_some() && core.right() == Right::Full && core.part.is_some(), core.types.is_empty())
+            };
+            if (leads || typeless) && types_at.is_none_or(|t| now > t + if typeless { 1000 } else { 20_000 }) {
+                types_at = Some(now);
+                if let Some(types) = self.cloud.catalogue().await {
+                    self.core.borrow_mut().take_types(&types);
+                    self.store_types(types).await;
+                }
+                pause(gap).await;
+            }
+            if !leads {
+                continue;
+            }
+            self.adopt().await;
+            if self.release().await {
+                pause(gap).await;
+            }
+            if now > list_at + list_ms {
+                list_at = now;
+                self.list(gap).await;
+            }
+            let open = self.settle_hires(gap).await;
+            for (offer, count) in self.decide() {
+                // While the answer to a request is unknown, its machines may be on their way.
+                if !open && self.hire(offer, count).await {
+                    pause(gap).await;
+                } else {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Keeps the machine types in the store, so that a node that starts while the cloud is down knows them.
+    pub(super) async fn store_types(&self, types: Vec<MachineType>) {
+        let (guards, same) = {
+            let core = self.core.borrow();
+            let Some((_, epoch, _)) = core.reign() else { return };
+            let old = core.mirror.catalogue.as_ref();
+            let shape = |l: &[MachineType]| {
+                l.iter().map(|t| (t.name.clone(), t.cpus as u64, t.zones.clone())).collect::<Vec<_>>()
+            };
+            let same = old.is_some_and(|c| shape(&c.record) == shape(&types));
+            let version = old.map_or(0, |c| c.version);
+            (vec![guard(store::epoch_key(), epoch), guard(store::catalogue_key(), version)], same)
+        };
+        if !same {
+            let _ = self.txn(&Txn { guards, apply: vec![put(store::catalogue_key(), &types, None)] }).await;
+        }
+    }
+
+    /// What to rent and what to return.
+    pub(super) fn decide(&self) -> Vec<(Offer, u32)> {
+        let mut core = self.core.borrow_mut();
+        // The calls before this one may have taken seconds: a leader cut off meanwhile once gave up machines that its
+        // heir was using.
+        if core.right() != Right::Full {
+            return Vec::new();
+        }
+        let core = &mut *core;
+        let now = core.begun.elapsed().as_millis() as u64 + 1000;
+        let w = &core.settings.platform.deployment.workers;
+        // Long enough for two probes; a machine silent for longer rarely comes back within its lease.
+        let silent_ms = ((2.0 * w.report_s + 2.0).max(0.4 * w.lease_s) * 1000.0) as u64;
+        let idle_ms = (core.settings.operator.idle_return_s * 1000.0) as u64;
+        let lost_ms = (2000.0 * w.lease_s) as u64;
+        let Some(part) = core.part.as_mut() else { return Vec::new() };
+        part.at(now);
+        let (silent, all) = part.silent(silent_ms);
+        // When most are silent at once, it is more likely this node that cannot hear; but not for ever.
+        let silent = if silent.len() * 2 <= all || all <= 2 { silent } else { part.silent(lost_ms).0 };
+        if silent.len() < all || all <= 2 || part.reporting(silent_ms) > 0 {
+            for i in silent {
+                part.enter(i, MachineState::Releasing, "silent");
+            }
+        } else if !core.settings.platform.peers.is_empty() {
+            tracing::info!(all, "hears no worker, gives leadership up");
+            if let Some((_, _, hold)) = core.reign() {
+                let store = self.store.clone();
+                actix::spawn(async move { store.close_hold(hold).await });
+            }
+            core.no_campaign_until = now + 15_000;
+            core.turn(Turn::Ended);
+            return Vec::new();
+        }
+        let needs = part.look_ahead(true);
+        let wanted: u32 = needs.iter().map(|n| n.tasks).sum();
+        let pending: u32 = part.jobs().map(|j| j.pending()).sum();
+        let used: u64 = part.loads().iter().map(|l| l.used).sum();
+        let cpus: u64 = part.loads().iter().map(|l| l.cpus).sum();
+        tracing::debug!(pending, wanted, used, cpus, "look ahead");
+        let boot_s = part.types().iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min).min(600.0);
+        core.fleet.surplus(part, &needs, idle_ms + (boot_s * 1000.0) as u64, now);
+        core.fleet.returns(part, idle_ms, now);
+        core.fleet.wishes(part, &needs, now).into_iter().map(|w| (w.offer, w.count)).collect()
+    }
+
+    pub(super) async fn release(&self) -> bool {
+        let names: Vec<String> = {
+            let core = self.core.borrow();
+            if core.right() != Right::Full {
+                return false;
+            }
+            let Some(part) = core.part.as_ref() else { return false };
+            let leaving = part.machines().filter(|(_, m)| m.state == MachineState::Releasing);
+            leaving.map(|(_, m)| m.name.clone()).take(RELEASE_MOST).collect()
+        };
+        if names.is_empty() {
+            return false;
+        }
+        let ok = self.cloud.release(&names).await;
+        let mut core = self.core.borrow_mut();
+        if ok {
+            tracing::info!(machines = ?names, "released");
+            let now = core.now();
+            core.released.retain(|_, at| now < *at + 600_000);
+            for n in names {
+                core.released.insert(n.clone(), now);
+                if let Some(part) = core.part.as_mut() {
+                    part.machine_gone(&n);
+                }
+                core.gone.insert(n);
+            }
+        } else {
+            tracing::info!(machines = ?names, "release not confirmed");
+        }
+        true
+    }
+
+    /// Takes machines that nobody expected into the store, so that they are used or returned.
+    pub(super) async fn adopt(&self) {
+        let (strangers, token, epoch) = {
+            let mut core = self.core.borrow_mut();
+            let Some((number, version, _)) = core.reign() else { return };
+            (std::mem::take(&mut core.strangers), crate::part::first_token(number), version)
+        };
+        for (machine, Stranger { machine_type, zone, spot, ask }) in strangers {
+            let known = {
+                let core = self.core.borrow();
+                let open = core.mirror.hires.values().any(|h| {
+                    h.record.machines.is_none() && h.record.machine_type == machine_type && h.record.zone == zone
+                });
+                open || core.part.as_ref().is_none_or(|p| p.knows(&machine))
+            };
+            if known {
+                continue;
+            }
+            if let Some((address, session)) = ask {
+                let probe = Direct { machine: machine.clone(), address, token, session, orders: Vec::new() };
+                if worker::send_direct(&self.workers, &probe).await.is_none() {
+                    continue;
+                }
+            }
+            let name = format!("found-{machine}");
+            let record = HireRecord { machine_type, zone, spot, count: 1, machines: Some(vec![machine.clone()]) };
+            let txn = store::hire_txn(&guard(store::epoch_key(), epoch), &name, 0, &record);
+            if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
+                tracing::info!(%machine, "unexpected machine taken in");
+                self.add_machines(&name, &record);
+            }
+        }
+    }
+
+    pub(super) fn add_machines(&self, hire: &str, r: &HireRecord) {
+        let mut core = self.core.borrow_mut();
+        let now = core.now();
+        let Some(part) = core.part.as_mut() else { return };
+        part.at(now);
+        for m in r.machines.iter().flatten() {
+            part.add_machine(m, hire, (&r.machine_type, &r.zone, r.spot));
+        }
+    }
+
+    pub(super) async fn list(&self, gap: u64) {
+        let mut after = String::new();
+        for _ in 0..50 {
+            let Some((machines, more)) = self.cloud.list(&after).await else { return };
+            pause(gap).await;
+            let mut core = self.core.borrow_mut();
+            let core = &mut *core;
+            // The list may still show what an earlier leader has released: an heir once took such machines in and counted
+            // on them for a minute. Workers that report are taken in at once.
+            let lag_ms = (core.settings.platform.deployment.cloud.list_lag_s * 2000.0) as u64 + 2000;
+            let settled = core.begun.elapsed().as_millis() as u64 > core.leads_since + lag_ms;
+            let Some(part) = core.part.as_mut() else { return };
+            after = machines.last().map(|m| m.id.clone()).unwrap_or_default();
+            let known: HashMap<String, usize> = part.machines().map(|(i, m)| (m.name.clone(), i)).collect();
+            for m in machines {
+                match known.get(&m.id) {
+                    Some(i) if m.state == "failed" => part.enter(*i, MachineState::Releasing, "failed"),
+                    Some(i) if m.state == "running" => part.listed_running(*i, &m.address),
+                    Some(_) => {}
+                    None if !settled || core.released.contains_key(&m.id) || core.strangers.len() > STRANGERS => {}
+                    None => {
+                        let (machine_type, zone, spot) = (m.machine_type, m.zone, m.spot);
+                        core.strangers.insert(m.id, Stranger { machine_type, zone, spot, ask: None });
+                    }
+                }
+            }
+            if !more || after.is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// Repeats rental requests whose answer is not known; true while some remain.
+    pub(super) async fn settle_hires(&self, gap: u64) -> bool {
+        let open: Vec<(String, HireRecord, u64)> = {
+            let core = self.core.borrow();
+            let unknown = core.mirror.hires.iter().filter(|(_, h)| h.record.machines.is_none());
+            unknown.map(|(n, h)| (n.clone(), h.record.clone(), h.version)).collect()
+        };
+        let mut left = false;
+        for (name, record, version) in open {
+            left |= !self.call_hire(&name, record, version).await;
+            pause(gap).await;
+        }
+        left
+    }
+
+    /// Rents: the request's name is stored before the call.
+    pub(super) async fn hire(&self, offer: Offer, count: u32) -> bool {
+        let (name, record, epoch) = {
+            let mut core = self.core.borrow_mut();
+            core.hires += 1;
+            let Some((_, epoch, _)) = core.reign() else { return false };
+            let Some(part) = core.part.as_ref() else { return false };
+            let record = HireRecord {
+                machine_type: part.types()[offer.0].name.clone(),
+                zone: part.zone_name(offer.1).to_string(),
+                spot: offer.2,
+                count,
+                machines: None,
+            };
+            (format!("{}-{:x}-{}", core.me.node, core.me.incarnation, core.hires), record, epoch)
+        };
+        match self.txn(&store::hire_txn(&guard(store::epoch_key(), epoch), &name, 0, &record)).await {
+            Ok(Decided::Applied(version)) => self.call_hire(&name, record, version).await,
+            _ => false,
+        }
+    }
+
+    /// Calls the cloud for a stored request. True if its fate is known and stored.
+    pub(super) async fn call_hire(&self, name: &str, mut record: HireRecord, version: u64) -> bool {
+        let Some((_, epoch, _)) = self.core.borrow().reign() else { return false };
+        if self.core.borrow().right() != Right::Full {
+            return false;
+        }
+        let request = RentRequest {
+            request: name.to_string(),
+            machine_type: record.machine_type.clone(),
+            zone: record.zone.clone(),
+            spot: record.spot,
+            count: record.count,
+        };
+        let rented = self.cloud.rent(&request).await;
+        tracing::info!(hire = name, kind = %record.machine_type, zone = %record.zone, spot = record.spot, count = record.count, ?rented, "rental");
+        let got = match rented {
+            Rented::Machines(m) => m,
+            Rented::NoCapacity => Vec::new(),
+            Rented::Refused | Rented::Unknown => return false,
+        };
+        self.note_offer(&record, got.len());
+        record.machines = Some(got);
+        match self.txn(&store::hire_txn(&guard(store::epoch_key(), epoch), name, version, &record)).await {
+            Ok(Decided::Applied(_)) => {
+                self.add_machines(name, &record);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    pub(super) fn note_offer(&self, r: &HireRecord, got: usize) {
+        let mut core = self.core.borrow_mut();
+        let now = core.now();
+        let core = &mut *core;
+        let Some(part) = core.part.as_ref() else { return };
+        let kind = part.types().iter().position(|t| t.name == r.machine_type);
+        let (Some(kind), Some(zone)) = (kind, part.zone_index(&r.zone)) else { return };
+        let offer = (kind, zone, r.spot);
+        if got < r.count as usize {
+            core.fleet.refused(offer, now);
+        } else {
+            core.fleet.filled(offer);
+        }
+    }
+}
--- /dev/null
+++ b/src/node/users.rs
@@ -0,0 +1,108 @@
+//! What users ask: submissions, polls, cancellations.
+
+use super::*;
+
+impl Shared {
+    /// A final state read from the store; `Gone` if there is none.
+    pub(super) async fn read_over(&self, id: &str) -> Result<OverRecord, StoreError> {
+        if let Some(r) = self.core.borrow().mirror.over(id) {
+            return Ok(r);
+        }
+        let read = self.noted(self.store.get::<OverRecord>(&store::over_key(id)).await)?;
+        self.core.borrow_mut().mirror.remember_over(id, read.record);
+        Ok(read.record)
+    }
+
+    pub(super) async fn poll(self, id: String) -> Answer {
+        if let Some(over) = self.core.borrow().mirror.over(&id) {
+            return Answer::Job(200, over_view(&id, over));
+        }
+        if !self.current().await {
+            return Answer::Later;
+        }
+        if let Some(view) = self.core.borrow().view(&id) {
+            return Answer::Job(200, view);
+        }
+        match self.read_over(&id).await {
+            Ok(over) => Answer::Job(200, over_view(&id, over)),
+            Err(StoreError::Gone) => Answer::Unknown,
+            Err(_) => Answer::Later,
+        }
+    }
+
+    pub(super) async fn submit(self, spec: JobSpec) -> Answer {
+        let id = spec.id.clone();
+        if let Some(over) = self.core.borrow().mirror.over(&id) {
+            return Answer::Job(200, over_view(&id, over));
+        }
+        let (known, ready, never, at_ms) = {
+            let core = self.core.borrow();
+            let ready = core.mirror.loaded && !core.types.is_empty();
+            (core.mirror.live.contains_key(&id), ready, core.impossible(&spec), core.wall())
+        };
+        if !known {
+            if !ready {
+                return Answer::Later;
+            }
+            if let Some(why) = never {
+                // A job accepted once stays accepted, whatever the machine types are now.
+                return match self.clone().poll(id).await {
+                    Answer::Unknown => Answer::Never(why),
+                    other => other,
+                };
+            }
+        }
+        let txn = store::submit_txn(&id, &LiveRecord { spec, at_ms });
+        let queued = JobView { id: id.clone(), state: JobState::Queued, done: Some(0), running: Some(0) };
+        match self.txn(&txn).await {
+            Ok(Decided::Applied(_)) => Answer::Job(201, queued),
+            Ok(Decided::Failed(keys)) if keys.contains(&store::over_key(&id)) => match self.read_over(&id).await {
+                Ok(over) => Answer::Job(200, over_view(&id, over)),
+                Err(_) => Answer::Later,
+            },
+            Ok(Decided::Failed(_)) => {
+                let core = self.core.borrow();
+                match core.mirror.live.contains_key(&id) {
+                    true => Answer::Job(200, core.view(&id).unwrap_or(queued)),
+                    false => Answer::Job(200, queued),
+                }
+            }
+            // Read back what an unanswered transaction did.
+            Err(StoreError::Unknown) => match self.noted(self.store.get::<LiveRecord>(&store::live_key(&id)).await) {
+                Ok(_) => Answer::Job(200, queued),
+                Err(_) => Answer::Later,
+            },
+            Err(_) => Answer::Later,
+        }
+    }
+
+    pub(super) async fn abort(self, id: String) -> Answer {
+        for _ in 0..3 {
+            if let Some(over) = self.core.borrow().mirror.over(&id) {
+                return Answer::Job(200, over_view(&id, over));
+            }
+            let live = self.core.borrow().mirror.live.get(&id).cloned();
+            let Some(live) = live else {
+                match self.clone().poll(id.clone()).await {
+                    Answer::Job(..) if self.core.borrow().mirror.live.contains_key(&id) => continue,
+                    other => return other,
+                }
+            };
+            let over = OverRecord { cancelled: true, tasks: live.record.spec.tasks };
+            let txn = store::abort_txn(&id, &live);
+            match self.txn(&txn).await {
+                Ok(Decided::Applied(_)) => {
+                    self.core.borrow_mut().mirror.remember_over(&id, over);
+                    return Answer::Job(200, over_view(&id, over));
+                }
+                Ok(Decided::Failed(_)) | Err(StoreError::Unknown) => match self.read_over(&id).await {
+                    Ok(over) => return Answer::Job(200, over_view(&id, over)),
+                    Err(StoreError::Gone) => pause(100).await,
+                    Err(_) => return Answer::Later,
+                },
+                Err(_) => return Answer::Later,
+            }
+        }
+        Answer::Later
+    }
+}
--- /dev/null
+++ b/src/part/look.rs
@@ -0,0 +1,279 @@
+//! Looking ahead: who may win room from others, what finds no room at all, and which machines are more than is needed.
+
+use super::placing::Vain;
+use super::*;
+
+/// How much of a machine is used, for the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Index.
+    pub machine: usize,
+    /// Type.
+    pub kind: usize,
+    /// Zone.
+    pub zone: usize,
+    /// Spot machine.
+    pub spot: bool,
+    /// Since when it is known.
+    pub since: u64,
+    /// All its CPUs.
+    pub cpus: u64,
+    /// CPUs in use.
+    pub used: u64,
+    /// CPUs in use by services.
+    pub services: u64,
+}
+
+/// Tasks for which no room is in sight.
+#[derive(Debug, Clone)]
+pub struct Need {
+    /// What one takes.
+    pub need: Amounts,
+    /// How many.
+    pub tasks: u32,
+    /// Whether spot machines are allowed.
+    pub spot: bool,
+    /// Allowed types.
+    pub types: Option<Vec<usize>>,
+    /// Allowed zones; none: any.
+    pub zones: Option<Vec<usize>>,
+    /// A service's tasks never end.
+    pub service: bool,
+}
+
+/// Machines in the order in which they are filled, spot machines first, and what is left of their room.
+struct Pool {
+    order: Vec<usize>,
+    room: Vec<Amounts>,
+}
+
+impl Pool {
+    fn new(part: &Part, rooms: impl Iterator<Item = (usize, Amounts)>) -> Pool {
+        let mut pool = Pool { order: Vec::new(), room: vec![[0; 3]; part.machines.len()] };
+        for (i, room) in rooms {
+            pool.order.push(i);
+            pool.room[i] = room;
+        }
+        pool.order.sort_by_key(|i| (!part.machine(*i).spot, *i));
+        pool
+    }
+
+    /// Takes room for up to `left` tasks of a job, within its zones' caps; returns how many found none.
+    fn take(&mut self, part: &Part, job: &Job, mut left: u32, zones: &mut HashMap<usize, u32>) -> u32 {
+        let bound = job.record.spec.scatter || job.record.spec.together;
+        for &i in &self.order {
+            if left == 0 {
+                break;
+            }
+            let mut n = fits(&job.need, &self.room[i]).min(left);
+            let m = part.machine(i);
+            if n == 0 || !part.may_host(job, m) {
+                continue;
+            }
+            if bound {
+                n = n.min(part.zone_cap(job, m.zone).saturating_sub(zones.get(&m.zone).copied().unwrap_or(0)));
+                *zones.entry(m.zone).or_default() += n;
+            }
+            self.room[i] = less(&self.room[i], &job.need, n as u64);
+            left -= n;
+        }
+        left
+    }
+
+    /// No longer looks at what has no room for the least need.
+    fn trim(&mut self, least: &Amounts) {
+        let room = &self.room;
+        self.order.retain(|i| fits(least, &room[*i]) > 0);
+    }
+}
+
+/// Who looked for somebody to displace in vain: priority, within a guarantee, team, need.
+type Asked = (Priority, bool, Option<usize>, Amounts);
+
+impl Part {
+    /// Looks ahead: stops lower work where a higher job or a guarantee has a claim, and returns what finds no room even
+    /// on the machines that are coming up.
+    pub fn look_ahead(&mut self, preempt: bool) -> Vec<Need> {
+        let waiting = |m: &Machine| m.state == MachineState::Waiting && m.tasks.is_empty() && !self.overdue(m, 2.0);
+        let mut room = Pool::new(self, self.machines().filter(|(_, m)| self.open(m)).map(|(i, m)| (i, self.coming(m))));
+        let mut later = Pool::new(self, self.machines().filter(|(_, m)| waiting(m)).map(|(i, m)| (i, m.room)));
+        let mut team_left: Vec<[u64; 2]> = (0..self.p.teams.len())
+            .map(|t| std::array::from_fn(|r| self.p.teams[t].limit[r].saturating_sub(self.team_use[t][r])))
+            .collect();
+        let queue = self.queue();
+        let least = queue.iter().map(|j| self.job(*j).need).reduce(|a, b| std::array::from_fn(|r| a[r].min(b[r])));
+        let least = least.unwrap_or([1; 3]);
+        let (mut needs, mut vain, mut asked) = (Vec::new(), Vain::default(), Vec::<Asked>::new());
+        for j in queue {
+            let job = self.job(j);
+            let Some(team) = job.team else { continue };
+            let quota = (0..2).map(|r| team_left[team][r].checked_div(job.need[r]).unwrap_or(u64::MAX)).min();
+            let mut left = job.pending().min(quota.unwrap_or(0).min(u32::MAX as u64) as u32);
+            if left == 0 || (job.record.spec.kind == Kind::Gang && left < job.pending()) {
+                continue;
+            }
+            let taken = left as u64;
+            team_left[team] = std::array::from_fn(|r| team_left[team][r].saturating_sub(job.need[r] * taken));
+            let mut zones: HashMap<usize, u32> = HashMap::new();
+            if !vain.covers(job) {
+                left = room.take(self, job, left, &mut zones);
+                left = later.take(self, job, left, &mut zones);
+                room.trim(&least);
+                later.trim(&least);
+                if left > 0 && !(job.record.spec.scatter || job.record.spec.together) {
+                    vain.add(job);
+                }
+            }
+            if left == 0 {
+                continue;
+            }
+            let (need, spec) = (job.need, &job.record.spec);
+            let (types, zone, spot, service) = (job.types.clone(), job.zone, spec.spot, spec.kind == Kind::Service);
+            let capped: Option<Vec<usize>> = (spec.scatter || spec.together).then(|| {
+                (0..self.zones.names.len())
+                    .filter(|z| self.zone_cap(job, *z) > zones.get(z).copied().unwrap_or(0))
+                    .collect()
+            });
+            if preempt {
+                left -= self.preempt(j, left, &mut room, &mut asked);
+            }
+            if left > 0 {
+                needs.push(Need { need, tasks: left, spot, types, zones: zone.map(|z| vec![z]).or(capped), service });
+            }
+        }
+        needs
+    }
+
+    /// Room of a machine, with what is being stopped there.
+    fn coming(&self, m: &Machine) -> Amounts {
+        if m.stopping == 0 {
+            return m.room;
+        }
+        let ending = m.tasks.iter().filter_map(|(j, t)| {
+            let job = self.job(*j);
+            job.active.get(t).filter(|a| matches!(a.phase, Phase::Stopping { .. })).map(|_| job.need)
+        });
+        ending.fold(m.room, |r, need| more(&r, &need, 1))
+    }
+
+    /// Stops lower work for up to `n` tasks of a job; returns for how many.
+    fn preempt(&mut self, j: usize, n: u32, room: &mut Pool, asked: &mut Vec<Asked>) -> u32 {
+        let job = self.job(j);
+        let (need, priority, within, team) = (job.need, job.record.spec.priority, job.within, job.team);
+        let key = (priority, within, team, need);
+        if asked.contains(&key) {
+            return 0;
+        }
+        let image = job.image;
+        let holders = self.holders.get(&image);
+        let mut hosts: Vec<(bool, usize)> = self
+            .machines()
+            .filter(|(_, m)| self.open(m) && !m.tasks.is_empty() && self.may_host(job, m))
+            .map(|(i, _)| (!holders.is_some_and(|h| h.contains(&i)), i))
+            .collect();
+        // Holders first, so that the room won is used at once.
+        hosts.sort_unstable();
+        let mut won = 0;
+        for (_, i) in hosts {
+            if won == n {
+                break;
+            }
+            let zone = self.machine(i).zone;
+            let mut victims: Vec<(Priority, u32, u64, usize, u32)> = Vec::new();
+            for (vj, vt) in &self.machine(i).tasks {
+                let v = self.job(*vj);
+                let Some(a) = v.active.get(vt) else { continue };
+                if matches!(a.phase, Phase::Stopping { .. }) {
+                    continue;
+                }
+                let spec = &v.record.spec;
+                let lower = spec.priority > priority && (!v.within || priority == Priority::Production);
+                let borrowed = within && !v.within && v.team != team && spec.priority != Priority::Production;
+                if lower || borrowed {
+                    let before = v.displaced.get(vt).copied().unwrap_or(0);
+                    victims.push((spec.priority, before, a.since, *vj, *vt));
+                }
+            }
+            // The lowest first; among them those stopped least often, lest the same work begin anew for ever; then the one
+            // that loses the least.
+            victims.sort_by_key(|v| (std::cmp::Reverse(v.0), v.1, std::cmp::Reverse(v.2)));
+            let mut victims = victims.into_iter();
+            while won < n && self.zone_cap(self.job(j), zone) > 0 {
+                let mut r = room.room[i];
+                let mut chosen = Vec::new();
+                while fits(&need, &r) == 0 {
+                    let Some((.., vj, vt)) = victims.next() else { break };
+                    r = more(&r, &self.job(vj).need, 1);
+                    chosen.push((vj, vt));
+                }
+                if fits(&need, &r) == 0 {
+                    break;
+                }
+                for (vj, vt) in chosen {
+                    tracing::info!(job = %self.job(vj).record.spec.id, task = vt, for_job = %self.job(j).record.spec.id, "preempted");
+                    let save = self.job(vj).record.spec.checkpoint_s > 0.0;
+                    *self.job_mut(vj).displaced.entry(vt).or_default() += 1;
+                    self.step(vj, vt, Step::Stop { save });
+                }
+                room.room[i] = less(&r, &need, 1);
+                won += 1;
+            }
+        }
+        if won < n {
+            asked.push(key);
+        }
+        won
+    }
+
+    /// The machines that take tasks.
+    pub fn loads(&self) -> Vec<Load> {
+        let open = self.machines().filter(|(_, m)| m.state == MachineState::Up && m.notice_at.is_none());
+        open.map(|(machine, m)| {
+            let cpus = self.types.get(m.kind).map_or(0, |t| (t.cpus * 1000.0) as u64);
+            let (kind, zone, spot, since, services) = (m.kind, m.zone, m.spot, m.since, m.service_cpus);
+            Load { machine, kind, zone, spot, since, cpus, used: cpus.saturating_sub(m.room[0]), services }
+        })
+        .collect()
+    }
+
+    /// Takes a machine out of use because there is more room than is needed.
+    pub fn spare_machine(&mut self, i: usize) {
+        self.enter(i, MachineState::Draining, "surplus");
+        self.machine_mut(i).surplus = true;
+    }
+
+    /// Takes surplus machines back into use.
+    pub fn use_surplus(&mut self) {
+        for i in 0..self.machines.len() {
+            let back = |m: &Machine| m.surplus && m.state == MachineState::Draining && m.notice_at.is_none();
+            if self.machines[i].as_ref().is_some_and(back) {
+                self.enter(i, MachineState::Up, "needed again");
+                self.machine_mut(i).surplus = false;
+            }
+        }
+    }
+
+    /// Moves one replica off a surplus machine on which nothing else is left, if a holder has room for it.
+    pub fn move_replica(&mut self) {
+        for i in 0..self.machines.len() {
+            let Some(m) = self.machines[i].as_ref().filter(|m| m.surplus && m.state == MachineState::Draining) else {
+                continue;
+            };
+            let services = m.tasks.iter().all(|(j, _)| self.job(*j).record.spec.kind == Kind::Service);
+            let Some(&(j, t)) = m.tasks.iter().next().filter(|_| services) else { continue };
+            let job = self.job(j);
+            let free = |o: &Machine| {
+                let same_zone = o.zone == m.zone || !(job.record.spec.scatter || job.record.spec.together);
+                self.open(o)
+                    && self.may_host(job, o)
+                    && same_zone
+                    && o.images.contains(&job.image)
+                    && fits(&job.need, &o.room) > 0
+            };
+            if self.machines().any(|(_, o)| free(o)) {
+                self.step(j, t, Step::Stop { save: false });
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/part/machines.rs
@@ -0,0 +1,236 @@
+//! Machines: what becomes of them, what is sent to them, what time alone brings.
+
+use super::starts::plain;
+use super::*;
+use crate::protocol::Report;
+
+/// A margin beside the drift of clocks, in milliseconds.
+const LEASE_MARGIN_MS: u64 = 500;
+
+impl Part {
+    /// Takes in a machine that the store records.
+    pub fn add_machine(&mut self, name: &str, hire: &str, of: (&str, &str, bool)) {
+        if self.knows(name) || !plain(name) {
+            return;
+        }
+        let kind = self.type_names.get(of.0).unwrap_or(usize::MAX);
+        let room = self.types.get(kind).map_or([0; 3], |t| [t.cpus, t.gpus, t.memory_gb].map(|x| (x * 1000.0) as u64));
+        let zone = self.zones.add(of.1);
+        let machine = Machine {
+            name: name.to_string(),
+            hire: hire.to_string(),
+            state: MachineState::Waiting,
+            kind,
+            zone,
+            spot: of.2,
+            since: self.now,
+            idle_since: None,
+            address: String::new(),
+            room,
+            tasks: BTreeSet::new(),
+            service_cpus: 0,
+            stopping: 0,
+            counter: 0,
+            last: (0, 0),
+            current: false,
+            reported_at: None,
+            contacted: false,
+            last_heard: self.now,
+            last_answer: self.now,
+            notice_at: None,
+            images: VecDeque::new(),
+            c: Capability::default(),
+            errors: Vec::new(),
+            not_before: 0,
+            direct: false,
+            probe_at: 0,
+            surplus: false,
+        };
+        self.machines.push(Some(machine));
+        self.machine_index.insert(name.to_string(), self.machines.len() - 1);
+        self.changed = true;
+    }
+
+    /// The one place where a machine's state changes.
+    pub fn enter(&mut self, i: usize, next: MachineState, why: &str) {
+        let m = self.machine_mut(i);
+        // A release may have been sent: it may execute at any later time, so there is no way back.
+        if m.state == next || m.state == MachineState::Releasing {
+            return;
+        }
+        tracing::info!(machine = %m.name, from = ?m.state, to = ?next, why, "machine");
+        m.state = next;
+        // A release executes late or not at all: what of ours has not been sent yet must not be any more.
+        if next != MachineState::Up {
+            let unsent: Vec<_> = self.machine(i).tasks.iter().copied().collect();
+            for (j, t) in unsent {
+                if self.job(j).active.get(&t).is_some_and(|a| a.phase == Phase::Assigned) {
+                    self.step(j, t, Step::Gone);
+                }
+            }
+        }
+        self.changed = true;
+    }
+
+    /// The cloud has confirmed that a machine is gone, and everything on it.
+    pub fn machine_gone(&mut self, name: &str) {
+        let Some(i) = self.machine_index.remove(name) else { return };
+        for (j, t) in self.machine(i).tasks.clone() {
+            self.step(j, t, Step::Gone);
+        }
+        for image in self.machine(i).images.clone() {
+            self.let_image_go(i, image);
+        }
+        self.outbox.remove(&i);
+        self.machines[i] = None;
+        self.jobs.iter_mut().flatten().for_each(|j| {
+            j.failed_on.remove(&i);
+        });
+        self.changed = true;
+    }
+
+    /// Machines that may hold tasks of earlier epochs and were neither heard nor outwaited nor released.
+    pub fn unsettled(&self) -> usize {
+        self.machines().filter(|(_, m)| !m.current && !m.tasks.is_empty()).count()
+    }
+
+    /// The cloud lists a machine as running: from now on it should be heard.
+    pub fn listed_running(&mut self, i: usize, address: &str) {
+        let now = self.now;
+        let m = self.machine_mut(i);
+        if m.address.is_empty() {
+            m.address = address.to_string();
+        }
+        if !m.contacted {
+            m.contacted = true;
+            m.last_heard = now;
+        }
+    }
+
+    /// Whether a machine should have been up long ago.
+    pub fn overdue(&self, m: &Machine, times: f64) -> bool {
+        let boot = self.types.get(m.kind).map_or(60.0, |t| t.boot_s);
+        m.state == MachineState::Waiting && self.now > m.since + ((boot * times + 10.0) * 1000.0) as u64
+    }
+
+    fn lease_over(&self, m: &Machine) -> bool {
+        self.now > m.last_answer + self.p.lease_ms + self.p.lease_ms / 500 + LEASE_MARGIN_MS
+    }
+
+    /// Machines that have not shown the current token for a time, and how many there are to hear from. Those being
+    /// released already are left out.
+    pub fn silent(&self, for_ms: u64) -> (Vec<usize>, usize) {
+        let expected = || self.machines().filter(|(_, m)| m.contacted && m.state != MachineState::Releasing);
+        let quiet = expected().filter(|(_, m)| self.now > m.last_heard + for_ms);
+        (quiet.map(|(i, _)| i).collect(), expected().count())
+    }
+
+    /// How many of the machines that should be heard from report, under whichever token: if none does, it is this node
+    /// that is cut off.
+    pub fn reporting(&self, for_ms: u64) -> usize {
+        self.machines().filter(|(_, m)| m.contacted && m.reported_at.is_some_and(|at| self.now <= at + for_ms)).count()
+    }
+
+    /// Starts and stops to be sent straight to workers, at most one message a machine at a time.
+    pub fn direct(&mut self, most: usize) -> Vec<Direct> {
+        let mut out = Vec::new();
+        for i in self.outbox.clone() {
+            if out.len() >= most {
+                break;
+            }
+            let Some(m) = self.machines[i].as_ref() else {
+                self.outbox.remove(&i);
+                continue;
+            };
+            // Stays in the outbox until it can be told, by an order or in the answer to its report.
+            if !m.current || m.direct || m.state == MachineState::Releasing {
+                continue;
+            }
+            self.outbox.remove(&i);
+            let mut orders = Vec::new();
+            let (machine, address, token, session) = (m.name.clone(), m.address.clone(), self.token(m), m.last.0);
+            self.collect_stops(i, &mut orders);
+            self.collect_starts(i, true, &mut orders);
+            if !orders.is_empty() {
+                self.machine_mut(i).direct = true;
+                out.push(Direct { machine, address, token, session, orders });
+            }
+        }
+        out
+    }
+
+    /// Empty orders for machines that are overdue or have not shown the current token yet: the answer is a report under
+    /// it, much sooner than the worker's next one. Those that may hold tasks come first.
+    pub fn probes(&mut self, most: usize) -> Vec<Direct> {
+        let late = self.p.report_ms * 3 / 2 + 500;
+        let due = |m: &Machine| {
+            m.contacted
+                && (!m.current || self.now > m.last_heard + late)
+                && !(m.direct || m.address.is_empty() || self.now < m.probe_at || m.state == MachineState::Releasing)
+        };
+        let mut all: Vec<(bool, usize)> =
+            self.machines().filter(|(_, m)| due(m)).map(|(i, m)| (m.tasks.is_empty(), i)).collect();
+        all.sort_unstable();
+        let mut out = Vec::new();
+        for (_, i) in all.into_iter().take(most) {
+            let m = self.machine(i);
+            let (machine, address, token, session) = (m.name.clone(), m.address.clone(), self.token(m), m.last.0);
+            let again = self.now + 1000.max(self.p.report_ms / 2);
+            let m = self.machine_mut(i);
+            m.direct = true;
+            m.probe_at = again;
+            out.push(Direct { machine, address, token, session, orders: Vec::new() });
+        }
+        out
+    }
+
+    /// The answer to direct orders. Without one they may execute minutes later: the token is raised, so that they are
+    /// void once the worker has seen it, and until then nothing is concluded from its reports.
+    pub fn direct_answer(&mut self, sent: &Direct, answer: Option<&Report>) {
+        let Some(&i) = self.machine_index.get(&sent.machine) else { return };
+        self.machine_mut(i).direct = false;
+        match answer {
+            Some(r) => {
+                self.report(r, false, false);
+            }
+            None if sent.orders.is_empty() => {}
+            None => self.raise(i, "no answer to direct orders"),
+        }
+    }
+
+    /// Raises a machine's token: what was sent under the old one is void once the worker has seen the new one. Until it
+    /// shows it, it gets no work; if it never does, though it reports, it is replaced like a silent one.
+    pub(super) fn raise(&mut self, i: usize, why: &str) {
+        let m = self.machine_mut(i);
+        m.counter += 1;
+        m.current = false;
+        tracing::info!(machine = %m.name, why, "token raised");
+    }
+
+    /// What time alone brings: leases that have surely run out, notices, machines that came back to nothing.
+    pub fn tick(&mut self, now: u64) {
+        self.at(now);
+        for i in 0..self.machines.len() {
+            let Some(m) = self.machines[i].as_ref() else { continue };
+            if !m.tasks.is_empty() && self.lease_over(m) {
+                tracing::info!(machine = %m.name, tasks = m.tasks.len(), "lease has run out");
+                for (j, t) in m.tasks.clone() {
+                    self.step(j, t, Step::Gone);
+                }
+                // A worker that comes back is in its next session; nothing meant for the last one may reach it.
+                self.raise(i, "lease has run out");
+            }
+            let Some(m) = self.machines[i].as_ref() else { continue };
+            let Some(at) = m.notice_at else { continue };
+            self.enter(i, MachineState::Draining, "notice");
+            for (j, t) in self.machine(i).tasks.clone() {
+                let spec = &self.job(j).record.spec;
+                // Work that saves is stopped just in time to save; the rest may still finish.
+                let lead = (spec.save_s * 1000.0) as u64 + 2 * self.p.report_ms + 2000;
+                if spec.kind == Kind::Service || (spec.checkpoint_s > 0.0 && now + lead >= at) {
+                    self.step(j, t, Step::Stop { save: spec.checkpoint_s > 0.0 });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/part/placing.rs
@@ -0,0 +1,303 @@
+//! Where tasks go: the order of jobs, what may host them, and one pass over both.
+
+use super::*;
+use crate::placement::{Ask, Candidate, CLASSES};
+
+/// The largest jobs, too, must begin within this time (PROTOCOL, additions), and this share of it is left to others.
+const BEGIN_MS: u64 = 240_000;
+const PATIENCE: f64 = 0.4;
+/// Most tasks of one job placed in one pass: the next pass is milliseconds away.
+const AT_ONCE: u32 = 2000;
+
+/// What was asked for in vain in a pass. Room only shrinks in a pass, so whoever asks for as much or more, with as little
+/// choice or less, need not look again.
+#[derive(Default)]
+pub(super) struct Vain(Vec<Asked>);
+
+struct Asked {
+    need: Amounts,
+    spot: bool,
+    types: Option<Vec<usize>>,
+    zone: Option<usize>,
+}
+
+impl Vain {
+    pub(super) fn covers(&self, j: &Job) -> bool {
+        self.0.iter().any(|a| {
+            (0..3).all(|r| j.need[r] >= a.need[r])
+                && (a.spot || !j.record.spec.spot)
+                && (a.types.is_none() || a.types == j.types)
+                && (a.zone.is_none() || a.zone == j.zone)
+        })
+    }
+
+    pub(super) fn add(&mut self, j: &Job) {
+        if self.0.len() < 64 {
+            self.0.push(Asked { need: j.need, spot: j.record.spec.spot, types: j.types.clone(), zone: j.zone });
+        }
+    }
+}
+
+/// What a pass looks up once.
+struct Pass {
+    /// Open machines that may have room.
+    open: Vec<usize>,
+    /// Mean c of the measured machines, by class; 1 without any.
+    mean: [f64; CLASSES],
+    /// Places on full holders that tasks wait for already.
+    waited: HashMap<usize, u32>,
+    vain: Vain,
+}
+
+impl Part {
+    /// Jobs with tasks to place, in the order in which they are served.
+    pub(super) fn queue(&mut self) -> Vec<usize> {
+        let mut asked = vec![[0u64; 2]; self.p.teams.len()];
+        let mut out = Vec::new();
+        let now = self.now;
+        for n in 0..self.by_age.len() {
+            let i = self.by_age[n];
+            let job = self.job(i);
+            let left = (job.tasks() - job.done_n) as u64;
+            let within = job.team.is_some_and(|t| {
+                let g = self.p.teams[t].guarantee;
+                let a = &mut asked[t];
+                *a = [a[0] + left * job.need[0], a[1] + left * job.need[1]];
+                !job.ended && a[0] <= g[0] && (job.need[1] == 0 || a[1] <= g[1])
+            });
+            let job = self.job_mut(i);
+            job.within = within;
+            if job.pending() > 0 && job.not_before <= now {
+                out.push(i);
+            }
+        }
+        out.sort_by_cached_key(|i| {
+            let j = self.job(*i);
+            let spec = &j.record.spec;
+            let (turn, work) = self.turn(j);
+            (spec.priority != Priority::Production, !j.within, spec.priority, turn, work, *i)
+        });
+        out
+    }
+
+    /// A job's place among its equals. First those that have waited long for their first task: otherwise the largest
+    /// would never begin beside a stream of small ones. Then those that can still be in time, the shortest first, since a
+    /// team's limit or a full fleet makes some late and aims count jobs; then late ones, the oldest first, who come first
+    /// once they are very late.
+    fn turn(&self, j: &Job) -> (u8, u64) {
+        let spec = &j.record.spec;
+        if spec.kind == Kind::Service {
+            return (1, j.submitted);
+        }
+        let span = spec.deadline_s.map(|d| (d * 1000.0) as u64).or(self.p.finish_ms.get(&spec.class).copied());
+        let age = self.now.saturating_sub(j.submitted);
+        let begun = j.done_n > 0 || !j.active.is_empty();
+        if !begun && age as f64 > BEGIN_MS as f64 * PATIENCE {
+            return (0, j.submitted);
+        }
+        match span {
+            Some(span) if age > span.saturating_mul(3) => (0, j.submitted),
+            Some(span) if age > span => (2, j.submitted),
+            _ => (1, ((j.tasks() - j.done_n) as f64 * j.time_s() * 1000.0) as u64),
+        }
+    }
+
+    /// How many tasks of a job may be added for its team's limit.
+    pub(super) fn quota_room(&self, j: &Job) -> u32 {
+        let Some(t) = j.team else { return 0 };
+        let room = |r: usize| {
+            self.p.teams[t].limit[r].saturating_sub(self.team_use[t][r]).checked_div(j.need[r]).unwrap_or(u64::MAX)
+        };
+        room(0).min(room(1)).min(u32::MAX as u64) as u32
+    }
+
+    pub(super) fn may_host(&self, j: &Job, m: &Machine) -> bool {
+        (j.record.spec.spot || !m.spot)
+            && j.types.as_ref().is_none_or(|t| t.contains(&m.kind))
+            && j.zone.is_none_or(|z| z == m.zone)
+    }
+
+    pub(super) fn open(&self, m: &Machine) -> bool {
+        m.current
+            && m.state == MachineState::Up
+            && m.notice_at.is_none()
+            && m.not_before <= self.now
+            && self.now <= m.last_heard + 3 * self.p.report_ms
+    }
+
+    /// How many more tasks of a job its zone rules allow in a zone.
+    pub(super) fn zone_cap(&self, j: &Job, zone: usize) -> u32 {
+        let used = j.zone_use.get(&zone).copied().unwrap_or(0);
+        if j.record.spec.together && j.zone_use.iter().any(|(z, n)| *n > 0 && *z != zone) {
+            return 0;
+        }
+        if j.record.spec.scatter {
+            return j.tasks().div_ceil(2).saturating_sub(used);
+        }
+        u32::MAX
+    }
+
+    /// Places what can be placed now. True if there was something to look at.
+    pub fn place(&mut self) -> bool {
+        if self.now < self.place_from || !std::mem::take(&mut self.changed) {
+            return false;
+        }
+        let queue = self.queue();
+        if queue.is_empty() {
+            return true;
+        }
+        let least = queue.iter().map(|j| self.job(*j).need).reduce(|a, b| std::array::from_fn(|r| a[r].min(b[r])));
+        let least = least.unwrap_or([1; 3]);
+        let mut pass = Pass { open: Vec::new(), mean: [1.0; CLASSES], waited: HashMap::new(), vain: Vain::default() };
+        let mut sums = [(0.0, 0u32); CLASSES];
+        for (i, m) in self.machines() {
+            if !self.open(m) {
+                continue;
+            }
+            for (class, sum) in sums.iter_mut().enumerate() {
+                if let Some(c) = m.c.get(class) {
+                    *sum = (sum.0 + c, sum.1 + 1);
+                }
+            }
+            if fits(&least, &m.room) > 0 {
+                pass.open.push(i);
+            }
+        }
+        for (mean, (sum, n)) in pass.mean.iter_mut().zip(sums) {
+            *mean = if n > 0 { sum / n as f64 } else { 1.0 };
+        }
+        for j in queue {
+            if pass.open.is_empty() {
+                break;
+            }
+            if !pass.vain.covers(self.job(j)) {
+                self.place_job(j, &mut pass);
+            }
+            if self.job(j).pending() == 0 {
+                continue;
+            }
+            // What has filled up meanwhile is not looked at again.
+            let machines = &self.machines;
+            pass.open.retain(|i| machines[*i].as_ref().is_some_and(|m| fits(&least, &m.room) > 0));
+        }
+        true
+    }
+
+    /// Asks for a new look at what can be placed, since time has passed.
+    pub fn stir(&mut self) {
+        self.changed = true;
+    }
+
+    /// Machines with room for a job's tasks, and full ones that hold its image.
+    fn candidates(&self, job: &Job, pass: &Pass) -> Vec<Candidate> {
+        let service = job.record.spec.kind == Kind::Service;
+        let candidate = |i: usize, m: &Machine, room: u32, holder: bool| {
+            // Spot machines first where allowed. Services go together, since only they keep a machine from being
+            // returned; other tasks fill the fullest machine.
+            let spare = if service { self.without_services(m) } else { m.room[0] };
+            let order = ((!m.spot as u64) << 40) + ((job.failed_on.contains(&i) as u64) << 41) + spare;
+            let ends_s = if room == 0 { self.ends_s(i, m, job, pass) } else { Vec::new() };
+            let c = m.c.get(job.class).unwrap_or(pass.mean[job.class]);
+            Candidate { machine: i, c, holder, room, ends_s, order }
+        };
+        let holders = self.holders.get(&job.image);
+        let mut out = Vec::new();
+        for &i in &pass.open {
+            let m = self.machine(i);
+            let room = fits(&job.need, &m.room);
+            if room > 0 && self.may_host(job, m) {
+                out.push(candidate(i, m, room, holders.is_some_and(|h| h.contains(&i))));
+            }
+        }
+        if out.is_empty() || !self.p.transfer_test || out.iter().all(|c| c.holder) {
+            return out;
+        }
+        for &i in holders.into_iter().flatten() {
+            let m = self.machine(i);
+            if fits(&job.need, &m.room) == 0 && self.open(m) && self.may_host(job, m) {
+                out.push(candidate(i, m, 0, true));
+            }
+        }
+        out
+    }
+
+    /// CPUs of a machine that no service uses.
+    pub(super) fn without_services(&self, m: &Machine) -> u64 {
+        self.types.get(m.kind).map_or(0, |t| (t.cpus * 1000.0) as u64).saturating_sub(m.service_cpus)
+    }
+
+    /// When a machine's tasks are expected to end, less what others wait for already.
+    fn ends_s(&self, i: usize, m: &Machine, job: &Job, pass: &Pass) -> Vec<f64> {
+        let c = m.c.get(job.class).unwrap_or(1.0);
+        let rest = m.tasks.iter().filter_map(|(j, t)| {
+            let other = self.jobs[*j].as_ref()?;
+            let a = other.active.get(t)?;
+            let spent = if a.phase == Phase::Running { self.now.saturating_sub(a.since) } else { 0 } as f64 / 1000.0;
+            (other.record.spec.kind != Kind::Service).then(|| (other.time_s() / c - spent).max(1.0))
+        });
+        let mut ends: Vec<f64> = rest.collect();
+        ends.sort_by(f64::total_cmp);
+        ends.split_off(ends.len().min(pass.waited.get(&i).copied().unwrap_or(0) as usize))
+    }
+
+    fn place_job(&mut self, j: usize, pass: &mut Pass) {
+        let job = self.job(j);
+        let whole = job.record.spec.kind == Kind::Gang;
+        let most = if whole { u32::MAX } else { AT_ONCE };
+        let mut left = job.pending().min(self.quota_room(job)).min(most);
+        // A gang starts whole or not at all: what is left of an earlier try must be gone first.
+        if left == 0 || (whole && (left < job.pending() || !job.active.is_empty())) {
+            return;
+        }
+        let mut candidates = self.candidates(job, pass);
+        if candidates.is_empty() {
+            pass.vain.add(job);
+            return;
+        }
+        if job.record.spec.together && job.zone_use.values().all(|n| *n == 0) {
+            // The zone with the most room is chosen with the first task.
+            let mut by_zone: BTreeMap<usize, u64> = BTreeMap::new();
+            for c in &candidates {
+                *by_zone.entry(self.machine(c.machine).zone).or_default() += c.room as u64;
+            }
+            let best = by_zone.iter().max_by_key(|(_, room)| **room).map(|(z, _)| *z);
+            candidates.retain(|c| Some(self.machine(c.machine).zone) == best);
+        }
+        let kind = self.machine(candidates[0].machine).kind;
+        let rate = self.fetch_rate.get(&kind).copied().unwrap_or(self.p.fetch_gb_per_s).max(0.001);
+        let ask = Ask {
+            tasks: left,
+            time_s: job.time_s(),
+            transfer_s: job.record.spec.image_gb / rate,
+            group_factor: self.p.group_factor,
+            transfer_test: self.p.transfer_test,
+        };
+        // With a zone cap a machine may get less than planned; the plan then covers all machines.
+        let capped = job.record.spec.scatter;
+        let plan = placement::plan(candidates, if capped { Ask { tasks: u32::MAX, ..ask } } else { ask });
+        if whole && plan.now.iter().map(|(_, n)| *n as u64).sum::<u64>() < left as u64 {
+            return;
+        }
+        // A gang's tasks share an attempt.
+        self.attempts += whole as u64;
+        for (machine, n) in plan.later {
+            *pass.waited.entry(machine).or_default() += n;
+        }
+        for (machine, n) in plan.now {
+            let zone = self.machine(machine).zone;
+            for _ in 0..n {
+                if left == 0 {
+                    return;
+                }
+                if self.zone_cap(self.job(j), zone) == 0 {
+                    break;
+                }
+                let Some(t) = self.job_mut(j).next_pending() else { return };
+                self.attempts += !whole as u64;
+                let attempt = (self.epoch << TOKEN_BITS) + self.attempts;
+                self.step(j, t, Step::Assign { machine, attempt });
+                left -= 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/part/reports.rs
@@ -0,0 +1,308 @@
+//! Reports: what workers say of their machines, and what follows from it.
+
+use super::*;
+use crate::protocol::{split_task, Report, TaskState, Why};
+
+/// Most orders in one answer: keeps answers far below their limit.
+const ORDERS: usize = 300;
+/// Images remembered for a machine.
+const IMAGES: usize = 24;
+
+impl Part {
+    /// Takes in a report. `live`: it arrived as a report, so the answer renews the lease; otherwise it is the answer to
+    /// a direct order. `start`: the node has the right to start tasks.
+    pub fn report(&mut self, r: &Report, live: bool, start: bool) -> Taken {
+        if r.token >> TOKEN_BITS > self.epoch {
+            return Taken::Superseded;
+        }
+        let Some(&i) = self.machine_index.get(&r.machine) else { return Taken::Stranger };
+        let now = self.now;
+        let token = self.token(self.machine(i));
+        let m = self.machine_mut(i);
+        // Held back by the network or a late copy, an old report is as old as its task list, and its worker no longer
+        // waits for an answer: nothing follows from it, neither for its tasks nor for its lease.
+        if (r.session, r.seq) <= m.last || r.token > token {
+            return Taken::Reply(ReportReply { token, orders: Vec::new() });
+        }
+        if live {
+            m.last_answer = m.last_answer.max(now);
+        }
+        let another = m.last.0 != 0 && r.session > m.last.0;
+        m.last = (r.session, r.seq);
+        m.reported_at = Some(now);
+        if m.address != r.address {
+            m.address = r.address.clone();
+        }
+        m.notice_at = r.notice_s.map(|s| now + (s * 1000.0) as u64);
+        if !m.contacted {
+            m.contacted = true;
+            m.last_heard = now;
+            // Its next report, due at once since its token has changed, tells as much.
+            m.probe_at = now + 1000;
+        }
+        let mut orders = Vec::new();
+        if r.token == token {
+            let overdue = 3 * self.p.report_ms;
+            let m = self.machine_mut(i);
+            // Something can be placed there from now on.
+            let fresh = !m.current || now > m.last_heard + overdue;
+            m.last_heard = now;
+            m.current = true;
+            self.changed |= fresh;
+            if self.machine(i).state == MachineState::Waiting {
+                self.machine_mut(i).idle_since = self.machine(i).tasks.is_empty().then_some(now);
+                self.enter(i, MachineState::Up, "reported");
+            }
+            let lost = self.reconcile(i, r, live, &mut orders);
+            // A session that ended although its reports were answered, or a start in an answer that was never executed,
+            // may mean that the worker hears nothing of us: it has to show a new token before it gets work again. Without
+            // this, such a machine took the same tasks again and again and lost them.
+            if another || lost {
+                self.raise(i, if another { "another session" } else { "an answer was lost" });
+            } else if start {
+                self.collect_starts(i, false, &mut orders);
+                if orders.len() < ORDERS && !self.machine(i).direct {
+                    self.outbox.remove(&i);
+                }
+            }
+        }
+        orders.truncate(ORDERS);
+        let token = self.token(self.machine(i));
+        Taken::Reply(ReportReply { token, orders })
+    }
+
+    /// The report is the newest under the current token: it is the truth about its machine, but for starts on their way:
+    /// direct ones whose answer is still out, and, where the report is the answer to direct orders (not `live`), those in
+    /// the response to a report, which the worker may not have received yet. Only its next report tells of these, since
+    /// it has one in flight at a time. (A direct stop that overtook such a start once made tasks run twice.)
+    /// True if a start in an answer to a report was not executed.
+    fn reconcile(&mut self, i: usize, r: &Report, live: bool, orders: &mut Vec<Order>) -> bool {
+        let mut listed = HashSet::with_capacity(r.tasks.len());
+        for line in &r.tasks {
+            let found = split_task(&line.task).and_then(|(job, t)| Some((*self.job_index.get(job)?, t)));
+            let known = found.filter(|(j, t)| *t < self.job(*j).tasks());
+            let name = || line.task.clone();
+            let Some((j, t)) = known else {
+                orders.push(match line.state {
+                    TaskState::Exited => Order::Forget { task: name(), attempt: line.attempt },
+                    _ => Order::Stop { task: name(), attempt: line.attempt, grace_s: 0.0 },
+                });
+                continue;
+            };
+            let here =
+                |p: &Self| p.job(j).active.get(&t).copied().filter(|a| a.machine == i && a.attempt == line.attempt);
+            if line.state == TaskState::Exited {
+                if here(self).is_some_and(|a| a.phase == Phase::Assigned) {
+                    continue;
+                }
+                let attempt = here(self);
+                if attempt.is_some() {
+                    listed.insert((j, t));
+                }
+                if self.exited(i, j, t, line.why, attempt) {
+                    orders.push(Order::Forget { task: name(), attempt: line.attempt });
+                }
+                continue;
+            }
+            let early = matches!(line.state, TaskState::Fetching | TaskState::Gathering);
+            let phase = if early { Phase::Fetching } else { Phase::Running };
+            let job = self.job(j);
+            if !job.active.contains_key(&t) && !bit(&job.done, t) {
+                self.step(j, t, Step::Adopt { machine: i, attempt: line.attempt, phase });
+                if self.job(j).ended {
+                    self.step(j, t, Step::Stop { save: false });
+                }
+            }
+            let Some(a) = here(self) else {
+                orders.push(Order::Stop { task: name(), attempt: line.attempt, grace_s: 0.0 });
+                continue;
+            };
+            listed.insert((j, t));
+            if let Some(a) = self.job_mut(j).active.get_mut(&t) {
+                a.shown = true;
+            }
+            if let Phase::Stopping { save } = a.phase {
+                if !(save && line.state == TaskState::Saving) {
+                    let grace_s = if save { self.job(j).record.spec.save_s } else { 0.0 };
+                    orders.push(Order::Stop { task: name(), attempt: line.attempt, grace_s });
+                }
+                continue;
+            }
+            self.show(i, j, t, a, phase);
+        }
+        let m = self.machine(i);
+        let absent: Vec<_> = m.tasks.iter().copied().filter(|k| !listed.contains(k)).collect();
+        let out = m.direct;
+        let mut lost = false;
+        for (j, t) in absent {
+            let Some(a) = self.job(j).active.get(&t).copied() else { continue };
+            // A start sent under an older token is void: the worker has seen this one.
+            let under_way = !a.shown && a.token == r.token && if a.direct { out } else { !live };
+            if a.phase != Phase::Assigned && !under_way {
+                tracing::info!(job = %self.job(j).record.spec.id, task = t, machine = %self.machine(i).name, "task gone");
+                lost |= !a.shown && !a.direct && a.token == r.token;
+                self.step(j, t, Step::Gone);
+            }
+        }
+        lost
+    }
+
+    /// A live task's state as its worker tells it.
+    fn show(&mut self, i: usize, j: usize, t: u32, a: Active, phase: Phase) {
+        let image = self.job(j).image;
+        if phase == Phase::Running && a.phase != Phase::Running {
+            let size = self.job(j).record.spec.image_gb;
+            let took = self.now.saturating_sub(a.since) as f64 / 1000.0;
+            if a.phase == Phase::Fetching && took > 0.5 && size > 0.0 {
+                let kind = self.machine(i).kind;
+                let first = self.types.get(kind).map_or(self.p.fetch_gb_per_s, |_| self.p.fetch_gb_per_s);
+                let rate = self.fetch_rate.entry(kind).or_insert(first);
+                *rate += 0.1 * (size / took - *rate);
+            }
+        }
+        if a.phase != phase {
+            let (job, machine) = (self.job(j), self.machine(i));
+            let age_ms = self.now.saturating_sub(job.submitted);
+            let held = machine.images.contains(&image);
+            tracing::info!(job = %job.record.spec.id, task = t, machine = %machine.name, ?phase, held, age_ms, "task");
+        }
+        self.hold_image(i, image);
+        self.step(j, t, Step::Show(phase));
+    }
+
+    /// Remembers which images a machine holds, the latest used last.
+    fn hold_image(&mut self, i: usize, image: usize) {
+        let m = self.machine_mut(i);
+        if m.images.back() == Some(&image) {
+            return;
+        }
+        m.images.retain(|x| *x != image);
+        m.images.push_back(image);
+        let oldest = if m.images.len() > IMAGES { m.images.pop_front() } else { None };
+        self.holders.entry(image).or_default().insert(i);
+        if let Some(old) = oldest {
+            self.let_image_go(i, old);
+        }
+    }
+
+    pub(super) fn let_image_go(&mut self, i: usize, image: usize) {
+        if let Some(h) = self.holders.get_mut(&image) {
+            h.remove(&i);
+            if h.is_empty() {
+                self.holders.remove(&image);
+            }
+        }
+    }
+
+    /// A task has ended on a machine. True if its line may be forgotten.
+    fn exited(&mut self, i: usize, j: usize, t: u32, why: Option<Why>, active: Option<Active>) -> bool {
+        let job = self.job(j);
+        if why == Some(Why::Done) && job.record.spec.kind != Kind::Service && !job.ended {
+            if !bit(&job.done, t) {
+                if job.active.contains_key(&t) && active.is_none() {
+                    // The same task is at work elsewhere; this result is kept until that has ended.
+                    return false;
+                }
+                self.finish(i, j, t, active);
+            }
+            return bit(&self.job(j).saved, t);
+        }
+        let Some(a) = active else { return true };
+        self.step(j, t, Step::Gone);
+        if matches!(a.phase, Phase::Stopping { .. }) {
+            return true;
+        }
+        let now = self.now;
+        match why {
+            Some(Why::Error) => self.failed(i, j),
+            Some(Why::NoRoom) => self.machine_mut(i).not_before = now + 3000,
+            Some(Why::Unknown) => self.job_mut(j).not_before = now + 2000,
+            _ => {}
+        }
+        true
+    }
+
+    fn finish(&mut self, i: usize, j: usize, t: u32, active: Option<Active>) {
+        let now = self.now;
+        let job = self.job_mut(j);
+        set_bit(&mut job.done, t);
+        job.done_n += 1;
+        job.returned.remove(&t);
+        job.failures = 0;
+        self.dirty.entry((j, t / CHUNK)).or_insert(now);
+        if let Some(a) = active {
+            if a.phase == Phase::Running {
+                let took = now.saturating_sub(a.since) as f64;
+                let job = self.job_mut(j);
+                job.finished_n += 1;
+                job.mean_ms += (took - job.mean_ms) / job.finished_n as f64;
+                let (class, mean, n) = (job.class, job.mean_ms, job.finished_n);
+                if n > 1 && mean > 0.0 {
+                    self.machine_mut(i).c.measure(class, took / mean);
+                }
+            }
+            self.machine_mut(i).errors.clear();
+            self.step(j, t, Step::Finished);
+        }
+        self.changed = true;
+    }
+
+    /// A task failed: its machine is faulty, or its job has a mistake. A job that fails everywhere only backs off; a
+    /// machine that fails tasks of several jobs is given up.
+    fn failed(&mut self, i: usize, j: usize) {
+        let now = self.now;
+        let job = self.job_mut(j);
+        job.failures += 1;
+        job.failed_on.insert(i);
+        let mistaken = job.failed_on.len() >= 3 && job.finished_n == 0;
+        if mistaken {
+            job.not_before = now + (1000u64 << job.failures.min(6)).min(60_000);
+            self.machines.iter_mut().flatten().for_each(|m| m.errors.retain(|e| *e != j));
+        }
+        let m = self.machine_mut(i);
+        if !mistaken {
+            if !m.errors.contains(&j) {
+                m.errors.push(j);
+            }
+            m.not_before = now + (2000u64 << m.errors.len().min(4));
+            if m.errors.len() >= 2 {
+                self.enter(i, MachineState::Draining, "fails tasks of several jobs");
+                for (j, t) in self.machine(i).tasks.clone() {
+                    self.step(j, t, Step::Stop { save: self.job(j).record.spec.checkpoint_s > 0.0 });
+                }
+            }
+        }
+    }
+
+    /// Moves assigned tasks of a machine into orders.
+    pub(super) fn collect_starts(&mut self, i: usize, direct: bool, orders: &mut Vec<Order>) {
+        for (j, t) in self.machine(i).tasks.clone() {
+            if orders.len() >= ORDERS {
+                return;
+            }
+            let Some(a) = self.job(j).active.get(&t).copied() else { continue };
+            if a.phase == Phase::Assigned && a.logged {
+                let task = format!("{}/{t}", self.job(j).record.spec.id);
+                let (machine, epoch) = (&self.machine(i).name, self.epoch);
+                let token = self.token(self.machine(i));
+                tracing::info!(job = %self.job(j).record.spec.id, task = t, %machine, epoch, direct, "start");
+                orders.push(Order::Start { task, attempt: a.attempt });
+                self.step(j, t, Step::Send { direct, token });
+            }
+        }
+    }
+
+    /// Stops of a machine that were not sent yet. A late one does no harm: it names its attempt.
+    pub(super) fn collect_stops(&mut self, i: usize, orders: &mut Vec<Order>) {
+        for (j, t) in self.machine(i).tasks.clone() {
+            let job = self.jobs[j].as_mut().expect("accounted tasks belong to a present job");
+            let Some(a) = job.active.get_mut(&t) else { continue };
+            if let (Phase::Stopping { save }, false) = (a.phase, a.told) {
+                a.told = true;
+                let grace_s = if save { job.record.spec.save_s } else { 0.0 };
+                let task = format!("{}/{t}", job.record.spec.id);
+                orders.push(Order::Stop { task, attempt: a.attempt, grace_s });
+            }
+        }
+    }
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -43,6 +43,10 @@
 pub fn done_key(job: &str, chunk: u32) -> String {
     format!("{ROOT}done/{job}/{chunk}")
 }
+/// Key of a slot of the start log.
+pub fn starts_key(slot: u32) -> String {
+    format!("{ROOT}starts/{slot}")
+}
 /// Key of a rental request and its machines.
 pub fn hire_key(hire: &str) -> String {
     format!("{ROOT}hire/{hire}")
@@ -84,6 +88,9 @@
     pub leader: LeaderRecord,
     /// Its members, among which the machines are divided.
     pub members: Vec<LeaderRecord>,
+    /// Whether its leader keeps the start log: versions before it did not, and their heir has to outwait every lease.
+    #[serde(default)]
+    pub logs_starts: bool,
 }
 
 /// A rental request, written before the cloud is called, and the machines it brought.
@@ -99,8 +106,6 @@
     pub count: u32,
     /// Machines; none while the answer is unknown.
     pub machines: Option<Vec<String>>,
-    /// Those that have reported, with their workers' addresses: only they may hold tasks.
-    pub up: Vec<(String, String)>,
 }
 
 /// A versioned record.
@@ -138,6 +143,8 @@
     pub stopping: HashMap<String, Versioned<LiveRecord>>,
     /// Finished tasks by job and chunk.
     pub done: BTreeMap<(String, u32), Versioned<Vec<u8>>>,
+    /// The start log by slot, as text: only an heir reads it.
+    pub starts: BTreeMap<u32, Versioned<String>>,
     /// Hires.
     pub hires: HashMap<String, Versioned<HireRecord>>,
     /// Leader.
@@ -201,6 +208,13 @@
                 }
                 Some(())
             }),
+            "starts" => record::<String>(value).and_then(|text| {
+                let slot: u32 = name.parse().ok()?;
+                if newer(self.starts.get(&slot), version) {
+                    self.starts.insert(slot, Versioned { record: text, version });
+                }
+                Some(())
+            }),
             "hire" => record::<HireRecord>(value).map(|record| {
                 if newer(self.hires.get(name), version) {
                     self.hires.insert(name.to_string(), Versioned { record, version });
@@ -248,6 +262,12 @@
                     }
                 }
             }
+            "starts" => {
+                let slot = name.parse().unwrap_or(u32::MAX);
+                if self.starts.get(&slot).is_some_and(|v| v.version < version) {
+                    self.starts.remove(&slot);
+                }
+            }
             "hire" if self.hires.get(name).is_some_and(|v| v.version < version) => {
                 self.hires.remove(name);
             }
@@ -493,7 +513,7 @@
         let mut mirror = Mirror::default();
         let mut first = None;
         let mut seen = Vec::new();
-        for family in ["catalogue", "done/", "epoch", "hire/", "leader", "live/", "stopping/"] {
+        for family in ["catalogue", "done/", "epoch", "hire/", "leader", "live/", "starts/", "stopping/"] {
             let mut after = String::new();
             loop {
                 let path = format!("/keys?starts={ROOT}{family}&after={after}&limit=200");
@@ -600,14 +620,7 @@
         s.run(&submit_txn("wk-2", &record));
         let version = s.revision;
         s.run(&Txn { guards: vec![old.clone()], apply: vec![put(epoch_key(), &2, None)] });
-        let hire = HireRecord {
-            machine_type: "x".into(),
-            zone: "z".into(),
-            spot: true,
-            count: 2,
-            machines: None,
-            up: Vec::new(),
-        };
+        let hire = HireRecord { machine_type: "x".into(), zone: "z".into(), spot: true, count: 2, machines: None };
         assert!(!s.run(&complete_txn(&old, "wk-2", version, 1)));
         assert!(!s.run(&hire_txn(&old, "a-1-1", 0, &hire)));
         // The current leader's request is stored before the call, and once only: names are unique for ever.
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -4,11 +4,11 @@
 use crate::protocol::{decode, encode, DirectOrders, Report};
 use std::time::Duration;
 
-/// The client all calls go through; every call sets its own time limit.
-pub fn http_client(connections: usize) -> awc::Client {
+/// A client that keeps idle connections for a time; every call sets its own time limit.
+pub fn http_client(connections: usize, keep_s: u64) -> awc::Client {
     let connector = awc::Connector::new()
         .limit(connections)
-        .conn_keep_alive(Duration::from_secs(20))
+        .conn_keep_alive(Duration::from_secs(keep_s))
         .timeout(Duration::from_millis(1500));
     awc::Client::builder().connector(connector).disable_timeout().finish()
 }
