Overtaken reports renew leases; worker connections are closed; user changes are paced

Also: the crowd at the start drew 3000 refusals from the state service and cost the leader its hold; users' changes now follow a pace that adjusts itself, and Retry-After says when. Copies of direct starts are voided by what makes them forgotten; another attempt than the one sent is what is there.

--- a/src/api.rs
+++ b/src/api.rs
@@ -18,8 +18,6 @@
     limiter: Arc<Mutex<Limiter>>,
 }
 
-const RETRY_S: &str = "1";
-
 fn reply(status: u16, body: Vec<u8>) -> HttpResponse {
     let status = actix_web::http::StatusCode::from_u16(status).unwrap_or(actix_web::http::StatusCode::OK);
     HttpResponse::build(status).content_type("application/cbor").body(body)
@@ -29,10 +27,9 @@
     reply(status, encode(&std::collections::BTreeMap::from([("error", error)])))
 }
 
-fn later(status: u16, error: &str) -> HttpResponse {
+fn later(status: u16, error: &str, in_s: u32) -> HttpResponse {
     let mut r = plain(status, error);
-    r.headers_mut()
-        .insert(actix_web::http::header::RETRY_AFTER, actix_web::http::header::HeaderValue::from_static(RETRY_S));
+    r.headers_mut().insert(actix_web::http::header::RETRY_AFTER, actix_web::http::header::HeaderValue::from(in_s));
     r
 }
 
@@ -41,7 +38,7 @@
         Answer::Job(status, view) => reply(status, encode(&view)),
         Answer::Unknown => plain(404, "no such job"),
         Answer::Never(why) => plain(422, why),
-        Answer::Later => later(503, "try again"),
+        Answer::Later(s) => later(503, "try again", s),
     }
 }
 
@@ -50,12 +47,12 @@
     async fn limited<F: std::future::Future<Output = Option<Answer>>>(&self, request: F) -> HttpResponse {
         let enter = |l: &Mutex<Limiter>| l.lock().map(|mut l| l.enter()).unwrap_or(true);
         if !enter(&self.limiter) {
-            return later(429, "too many requests in progress");
+            return later(429, "too many requests in progress", 1);
         }
         let from = Instant::now();
-        let a = request.await.unwrap_or(Answer::Later);
+        let a = request.await.unwrap_or(Answer::Later(1));
         if let Ok(mut l) = self.limiter.lock() {
-            l.leave(from.elapsed().as_millis() as u64, !matches!(a, Answer::Later));
+            l.leave(from.elapsed().as_millis() as u64, !matches!(a, Answer::Later(_)));
         }
         answer(a)
     }
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -40,7 +40,7 @@
     }
 
     async fn call(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Option<(u16, Vec<u8>)> {
-        exchange(&self.http, method, &format!("{}{path}", self.base), body, CALL, ANSWER_LIMIT).await
+        exchange(&self.http, method, &format!("{}{path}", self.base), body, CALL, ANSWER_LIMIT, false).await
     }
 
     /// The machine types, or none if the cloud does not say.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod leader;
 pub mod limiter;
 pub mod node;
+pub mod pacer;
 pub mod part;
 pub mod peer;
 pub mod placement;
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -136,7 +136,7 @@
                 let epoch = self.core.borrow().reign();
                 flying.set(flying.get() + 1);
                 actix::spawn(async move {
-                    let answer = worker::send_direct(&me.workers, &d).await;
+                    let answer = worker::send_direct(&me.http, &d).await;
                     flying.set(flying.get() - 1);
                     let mut core = me.core.borrow_mut();
                     // An answer for an earlier epoch means nothing to this one.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 use crate::config::Settings;
 use crate::fleet::{Fleet, Offer};
 use crate::leader::{Leadership, Right, Role, Turn};
+use crate::pacer::Pacer;
 use crate::part::{Direct, MachineState, Params, Part, Taken};
 use crate::peer::{self, View};
 use crate::protocol::{
@@ -59,8 +60,8 @@
     Unknown,
     /// Can never run.
     Never(&'static str),
-    /// Ask again.
-    Later,
+    /// Ask again, in so many seconds.
+    Later(u32),
 }
 
 /// What a worker is told.
@@ -110,6 +111,7 @@
     strangers: BTreeMap<String, Stranger>,
     hires: u64,
     readers: Vec<oneshot::Sender<u64>>,
+    pacer: Pacer,
 }
 
 impl Core {
@@ -326,8 +328,6 @@
     urgent: Rc<Notify>,
     /// Starts may wait for their lines in the log.
     logging: Rc<Notify>,
-    /// For calls to workers, of which there are many: their connections are not kept long.
-    workers: awc::Client,
 }
 
 /// Time between looks at what time alone brings.
@@ -482,11 +482,14 @@
     /// A node that has yet to be started.
     fn new(settings: Settings) -> Node {
         let connections = (settings.platform.deployment.machine_limits.max_connections / 8).clamp(8, 100);
-        let http = worker::http_client(connections, 20);
+        let http = worker::http_client(connections);
         let me =
             LeaderRecord { node: settings.platform.node.clone(), incarnation: rand::thread_rng().gen::<u64>() >> 1 };
         let ttl = (settings.operator.hold_s * 1000.0) as u64;
         let external = settings.platform.external.clone();
+        let state = &settings.platform.deployment.state;
+        // Users get at most two thirds of the changes; the rest is for the leader's books.
+        let user_changes = state.write_rps * 2.0 / 3.0 / (settings.platform.peers.len() + 1) as f64;
         let core = Core {
             lead: Leadership::new(ttl, settings.ride_ms()),
             settings,
@@ -508,6 +511,7 @@
             strangers: BTreeMap::new(),
             hires: 0,
             readers: Vec::new(),
+            pacer: Pacer::new(user_changes),
         };
         let shared = Shared {
             core: Rc::new(RefCell::new(core)),
@@ -519,7 +523,6 @@
             reading: Rc::new(Notify::new()),
             urgent: Rc::new(Notify::new()),
             logging: Rc::new(Notify::new()),
-            workers: worker::http_client(connections, 1),
         };
         Node { shared }
     }
--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -163,7 +163,7 @@
             }
             if let Some((address, session)) = ask {
                 let probe = Direct { machine: machine.clone(), address, token, session, orders: Vec::new() };
-                if worker::send_direct(&self.workers, &probe).await.is_none() {
+                if worker::send_direct(&self.http, &probe).await.is_none() {
                     continue;
                 }
             }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -18,7 +18,7 @@
             return Answer::Job(200, over_view(&id, over));
         }
         if !self.current().await {
-            return Answer::Later;
+            return Answer::Later(1);
         }
         if let Some(view) = self.core.borrow().view(&id) {
             return Answer::Job(200, view);
@@ -26,10 +26,29 @@
         match self.read_over(&id).await {
             Ok(over) => Answer::Job(200, over_view(&id, over)),
             Err(StoreError::Gone) => Answer::Unknown,
-            Err(_) => Answer::Later,
+            Err(_) => Answer::Later(1),
         }
     }
 
+    /// Whether a user may cause a number of changes now.
+    fn admit(&self, changes: u32) -> Result<(), Answer> {
+        let mut core = self.core.borrow_mut();
+        let now = core.now();
+        core.pacer.take(changes, now).map_err(Answer::Later)
+    }
+
+    /// A user's transaction: tried once, since the user is told when to come back.
+    async fn user_txn(&self, txn: &Txn) -> Result<Decided, StoreError> {
+        let done = self.noted(self.store.txn(txn).await);
+        let mut core = self.core.borrow_mut();
+        match done {
+            Err(StoreError::Busy) => core.pacer.refused(),
+            Ok(_) => core.pacer.taken(),
+            _ => {}
+        }
+        done
+    }
+
     pub(super) async fn submit(self, spec: JobSpec) -> Answer {
         let id = spec.id.clone();
         if let Some(over) = self.core.borrow().mirror.over(&id) {
@@ -42,7 +61,7 @@
         };
         if !known {
             if !ready {
-                return Answer::Later;
+                return Answer::Later(1);
             }
             if let Some(why) = never {
                 // A job accepted once stays accepted, whatever the machine types are now.
@@ -52,13 +71,18 @@
                 };
             }
         }
+        if !known {
+            if let Err(later) = self.admit(1) {
+                return later;
+            }
+        }
         let txn = store::submit_txn(&id, &LiveRecord { spec, at_ms });
         let queued = JobView { id: id.clone(), state: JobState::Queued, done: Some(0), running: Some(0) };
-        match self.txn(&txn).await {
+        match self.user_txn(&txn).await {
             Ok(Decided::Applied(_)) => Answer::Job(201, queued),
             Ok(Decided::Failed(keys)) if keys.contains(&store::over_key(&id)) => match self.read_over(&id).await {
                 Ok(over) => Answer::Job(200, over_view(&id, over)),
-                Err(_) => Answer::Later,
+                Err(_) => Answer::Later(1),
             },
             Ok(Decided::Failed(_)) => {
                 let core = self.core.borrow();
@@ -70,9 +94,9 @@
             // Read back what an unanswered transaction did.
             Err(StoreError::Unknown) => match self.noted(self.store.get::<LiveRecord>(&store::live_key(&id)).await) {
                 Ok(_) => Answer::Job(200, queued),
-                Err(_) => Answer::Later,
+                Err(_) => Answer::Later(1),
             },
-            Err(_) => Answer::Later,
+            Err(_) => Answer::Later(1),
         }
     }
 
@@ -89,8 +113,11 @@
                 }
             };
             let over = OverRecord { cancelled: true, tasks: live.record.spec.tasks };
+            if let Err(later) = self.admit(3) {
+                return later;
+            }
             let txn = store::abort_txn(&id, &live);
-            match self.txn(&txn).await {
+            match self.user_txn(&txn).await {
                 Ok(Decided::Applied(_)) => {
                     self.core.borrow_mut().mirror.remember_over(&id, over);
                     return Answer::Job(200, over_view(&id, over));
@@ -98,11 +125,11 @@
                 Ok(Decided::Failed(_)) | Err(StoreError::Unknown) => match self.read_over(&id).await {
                     Ok(over) => return Answer::Job(200, over_view(&id, over)),
                     Err(StoreError::Gone) => pause(100).await,
-                    Err(_) => return Answer::Later,
+                    Err(_) => return Answer::Later(1),
                 },
-                Err(_) => return Answer::Later,
+                Err(_) => return Answer::Later(1),
             }
         }
-        Answer::Later
+        Answer::Later(1)
     }
 }
--- /dev/null
+++ b/src/pacer.rs
@@ -0,0 +1,72 @@
+//! How many changes users may cause in the state service, which refuses what is too much for all nodes together.
+//!
+//! The pace adjusts itself: it grows while changes are taken and shrinks when one is refused. What goes beyond it is told
+//! when to come back, in turn, so that a crowd does not come back all at once. Without this, the retries of a crowd used
+//! up the service's requests, and a leader could not renew its hold.
+
+/// The pacer; all times in milliseconds.
+pub struct Pacer {
+    per_s: f64,
+    most: f64,
+    tokens: f64,
+    at: u64,
+    /// Until when those that were told to come back will use up the pace.
+    promised: f64,
+}
+
+impl Pacer {
+    /// One that may reach `most` changes a second.
+    pub fn new(most: f64) -> Pacer {
+        Pacer { per_s: most / 2.0, most, tokens: most / 2.0, at: 0, promised: 0.0 }
+    }
+
+    /// Whether a number of changes may be made now; otherwise in how many seconds to come back.
+    pub fn take(&mut self, changes: u32, now: u64) -> Result<(), u32> {
+        // A burst worth a second, as the service itself allows.
+        self.tokens = (self.tokens + now.saturating_sub(self.at) as f64 * self.per_s / 1000.0).min(self.per_s.max(1.0));
+        self.at = self.at.max(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= changes as f64;
+            return Ok(());
+        }
+        self.promised = self.promised.max(now as f64) + changes as f64 * 1000.0 / self.per_s;
+        Err(((self.promised - now as f64) / 1000.0).ceil().clamp(1.0, 30.0) as u32)
+    }
+
+    /// A change was taken.
+    pub fn taken(&mut self) {
+        self.per_s = (self.per_s + 0.02 * self.most).min(self.most);
+    }
+
+    /// A change was refused as too much.
+    pub fn refused(&mut self) {
+        self.per_s = (self.per_s * 0.8).max(0.05 * self.most);
+        self.tokens = self.tokens.min(0.0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_crowd_is_told_to_come_back_in_turn() {
+        let mut p = Pacer::new(10.0);
+        let answers: Vec<_> = (0..25).map(|_| p.take(1, 1000)).collect();
+        assert_eq!(answers.iter().filter(|a| a.is_ok()).count(), 5);
+        let waits: Vec<u32> = answers.iter().filter_map(|a| a.err()).collect();
+        assert_eq!((waits[0], waits[19]), (1, 4));
+        assert!(p.take(1, 1300).is_ok());
+    }
+
+    #[test]
+    fn the_pace_follows_what_the_service_takes() {
+        let mut p = Pacer::new(10.0);
+        (0..100).for_each(|_| p.taken());
+        assert!((p.per_s - 10.0).abs() < 1e-9);
+        (0..5).for_each(|_| p.refused());
+        assert!(p.per_s < 4.0 && p.take(1, 0).is_err());
+        (0..100).for_each(|_| p.refused());
+        assert!(p.take(1, 10_000).is_ok(), "it never stops");
+    }
+}
--- a/src/part/machines.rs
+++ b/src/part/machines.rs
@@ -32,6 +32,7 @@
             stopping: 0,
             counter: 0,
             last: (0, 0),
+            last_live: (0, 0),
             current: false,
             reported_at: None,
             contacted: false,
@@ -43,6 +44,7 @@
             errors: Vec::new(),
             not_before: 0,
             direct: false,
+            direct_starts: false,
             probe_at: 0,
             surplus: false,
         };
@@ -152,7 +154,9 @@
             self.collect_stops(i, &mut orders);
             self.collect_starts(i, true, &mut orders);
             if !orders.is_empty() {
-                self.machine_mut(i).direct = true;
+                let m = self.machine_mut(i);
+                m.direct = true;
+                m.direct_starts |= orders.iter().any(|o| matches!(o, Order::Start { .. }));
                 out.push(Direct { machine, address, token, session, orders });
             }
         }
@@ -203,6 +207,7 @@
     pub(super) fn raise(&mut self, i: usize, why: &str) {
         let m = self.machine_mut(i);
         m.counter += 1;
+        m.direct_starts = false;
         m.current = false;
         tracing::info!(machine = %m.name, why, "token raised");
     }
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -316,6 +316,8 @@
     stopping: u32,
     counter: u64,
     last: (u64, u64),
+    /// The newest that came as a report.
+    last_live: (u64, u64),
     /// Reports under the current token have arrived.
     current: bool,
     /// When its last report, under whichever token, arrived.
@@ -332,6 +334,8 @@
     errors: Vec<usize>,
     not_before: u64,
     direct: bool,
+    /// Direct starts were sent under its present token.
+    direct_starts: bool,
     probe_at: u64,
     /// Draining only because there is more room than is needed.
     surplus: bool,
--- a/src/part/placing.rs
+++ b/src/part/placing.rs
@@ -123,6 +123,8 @@
             && m.notice_at.is_none()
             && m.not_before <= self.now
             && self.now <= m.last_heard + 3 * self.p.report_ms
+            // One that only direct orders reach is about to lose what it has.
+            && self.now <= m.last_answer + self.p.lease_ms / 2
     }
 
     /// How many more tasks of a job its zone rules allow in a zone.
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -1,7 +1,7 @@
 //! Reports: what workers say of their machines, and what follows from it.
 
 use super::*;
-use crate::protocol::{split_task, Report, TaskState, Why};
+use crate::protocol::{split_task, Report, TaskReport, TaskState, Why};
 
 /// Most orders in one answer: keeps answers far below their limit.
 const ORDERS: usize = 300;
@@ -19,14 +19,16 @@
         let now = self.now;
         let token = self.token(self.machine(i));
         let m = self.machine_mut(i);
-        // Held back by the network or a late copy, an old report is as old as its task list, and its worker no longer
-        // waits for an answer: nothing follows from it, neither for its tasks nor for its lease.
+        // Held back by the network or a late copy, an old report is as old as its task list: nothing follows from it for
+        // its tasks. A worker has one report in flight, so that of one older than the last it awaits no answer either.
+        if live && (r.session, r.seq) > m.last_live {
+            // It may only have been overtaken by the answer to a direct order; its worker then still waits for us.
+            m.last_live = (r.session, r.seq);
+            m.last_answer = m.last_answer.max(now);
+        }
         if (r.session, r.seq) <= m.last || r.token > token {
             return Taken::Reply(ReportReply { token, orders: Vec::new() });
         }
-        if live {
-            m.last_answer = m.last_answer.max(now);
-        }
         let another = m.last.0 != 0 && r.session > m.last.0;
         m.last = (r.session, r.seq);
         m.reported_at = Some(now);
@@ -67,6 +69,17 @@
             }
         }
         orders.truncate(ORDERS);
+        // A copy of a direct start that was carried out may still come, and once its attempt is forgotten the worker would
+        // start it anew. So what makes it forget also brings a higher token, which voids the copy; and nothing is forgotten
+        // while a direct order is under way, which that would void as well.
+        let forget = |o: &Order| matches!(o, Order::Forget { .. });
+        let m = self.machine_mut(i);
+        if m.direct {
+            orders.retain(|o| !forget(o));
+        } else if m.direct_starts && orders.iter().any(forget) {
+            m.direct_starts = false;
+            m.counter += 1;
+        }
         let token = self.token(self.machine(i));
         Taken::Reply(ReportReply { token, orders })
     }
@@ -78,7 +91,22 @@
     /// True if a start in an answer to a report was not executed.
     fn reconcile(&mut self, i: usize, r: &Report, live: bool, orders: &mut Vec<Order>) -> bool {
         let mut listed = HashSet::with_capacity(r.tasks.len());
-        for line in &r.tasks {
+        // A live line of another attempt than the one that was sent here, which is not under way any more: that one is what
+        // is here. Taken for a stray, it was once stopped and its task started elsewhere before it had ended.
+        for line in r.tasks.iter().filter(|l| l.state != TaskState::Exited) {
+            let found = split_task(&line.task).and_then(|(job, t)| Some((*self.job_index.get(job)?, t)));
+            let Some((j, t)) = found else { continue };
+            let Some(a) = self.job(j).active.get(&t).copied() else { continue };
+            if a.machine == i && a.attempt != line.attempt && !self.under_way(i, &a, r, live) {
+                let listed = r.tasks.iter().any(|l| l.task == line.task && l.attempt == a.attempt);
+                if a.phase != Phase::Assigned && !listed {
+                    self.step(j, t, Step::Gone);
+                }
+            }
+        }
+        // What has ended first: a refused start of one attempt must not hide that another still runs here.
+        let ended = |l: &&TaskReport| l.state == TaskState::Exited;
+        for line in r.tasks.iter().filter(ended).chain(r.tasks.iter().filter(|l| !ended(l))) {
             let found = split_task(&line.task).and_then(|(job, t)| Some((*self.job_index.get(job)?, t)));
             let known = found.filter(|(j, t)| *t < self.job(*j).tasks());
             let name = || line.task.clone();
@@ -109,6 +137,8 @@
             let job = self.job(j);
             if !job.active.contains_key(&t) && !bit(&job.done, t) {
                 self.step(j, t, Step::Adopt { machine: i, attempt: line.attempt, phase });
+                // Its line may have left the log.
+                self.log.wants(j, t, i, line.attempt);
                 if self.job(j).ended {
                     self.step(j, t, Step::Stop { save: false });
                 }
@@ -130,15 +160,11 @@
             }
             self.show(i, j, t, a, phase);
         }
-        let m = self.machine(i);
-        let absent: Vec<_> = m.tasks.iter().copied().filter(|k| !listed.contains(k)).collect();
-        let out = m.direct;
+        let absent: Vec<_> = self.machine(i).tasks.iter().copied().filter(|k| !listed.contains(k)).collect();
         let mut lost = false;
         for (j, t) in absent {
             let Some(a) = self.job(j).active.get(&t).copied() else { continue };
-            // A start sent under an older token is void: the worker has seen this one.
-            let under_way = !a.shown && a.token == r.token && if a.direct { out } else { !live };
-            if a.phase != Phase::Assigned && !under_way {
+            if a.phase != Phase::Assigned && !self.under_way(i, &a, r, live) {
                 tracing::info!(job = %self.job(j).record.spec.id, task = t, machine = %self.machine(i).name, "task gone");
                 lost |= !a.shown && !a.direct && a.token == r.token;
                 self.step(j, t, Step::Gone);
@@ -147,6 +173,12 @@
         lost
     }
 
+    /// Whether a start may still be on its way to a worker that has sent this report. One sent under an older token is
+    /// void: the worker has seen this one.
+    fn under_way(&self, i: usize, a: &Active, r: &Report, live: bool) -> bool {
+        !a.shown && a.token == r.token && if a.direct { self.machine(i).direct } else { !live }
+    }
+
     /// A live task's state as its worker tells it.
     fn show(&mut self, i: usize, j: usize, t: u32, a: Active, phase: Phase) {
         let image = self.job(j).image;
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -785,3 +785,85 @@
     }
     assert!(seen.values().all(|n| *n == 1), "{seen:?}");
 }
+
+#[test]
+fn what_makes_a_worker_forget_a_direct_start_also_voids_its_copies() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(JobSpec { kind: Kind::Service, ..spec("wk-1", 1) }, 101);
+    w.tick(2000);
+    let sent = w.part.direct(9);
+    let got = starts(&sent[0].orders);
+    let line = |state, why| [(got[0].0.as_str(), got[0].1, state, why)];
+    let r = w.report("n-1", w.token(), &line(TaskState::Running, None));
+    w.part.direct_answer(&sent[0], Some(&r));
+    w.part.drop_job("wk-1");
+    let r = w.report("n-1", w.token(), &line(TaskState::Exited, Some(Why::Stopped)));
+    match w.part.report(&r, true, true) {
+        // A copy of the direct order carries the old token.
+        Taken::Reply(reply) => {
+            assert_eq!(reply.token, w.token() + 1);
+            assert!(matches!(reply.orders[..], [Order::Forget { .. }]));
+        }
+        other => panic!("{other:?}"),
+    }
+    // The machine goes on taking work.
+    w.job(spec("wk-2", 1), 102);
+    w.tick(2100);
+    assert_eq!(w.part.direct(9)[0].token, w.token() + 1);
+}
+
+#[test]
+fn a_refused_start_does_not_hide_that_another_attempt_runs() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.machine("n-2", "a");
+    w.job(spec("wk-1", 1), 101);
+    w.tick(2000);
+    let sent = w.part.direct(9);
+    let host = sent[0].machine.clone();
+    let got = starts(&sent[0].orders);
+    let lines =
+        [("wk-1/0", 3, TaskState::Running, None), (got[0].0.as_str(), got[0].1, TaskState::Exited, Some(Why::Busy))];
+    let r = w.report(&host, w.token(), &lines);
+    w.part.direct_answer(&sent[0], Some(&r));
+    assert_eq!(w.part.jobs().map(Job::pending).sum::<u32>(), 0);
+}
+
+#[test]
+fn a_report_overtaken_by_a_direct_answer_still_renews_the_lease() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.machine("n-2", "a");
+    w.job(JobSpec { cpus: 8.0, ..spec("wk-1", 2) }, 101);
+    w.tick(2000);
+    let sent = w.part.direct(9);
+    let d = sent.iter().find(|d| d.machine == "n-1").unwrap().clone();
+    let got = starts(&d.orders);
+    let line = [(got[0].0.as_str(), got[0].1, TaskState::Running, None)];
+    let r = w.report("n-1", w.token(), &line);
+    w.part.direct_answer(&d, Some(&r));
+    // Every report is overtaken by the answer to a probe. It is as old as its tasks, but its worker waits for the answer
+    // and counts its lease from it: taken for run out, the task was once started a second time.
+    for s in 1..10u64 {
+        let overtaken = w.report("n-1", w.token(), &line);
+        let answer = w.report("n-1", w.token(), &line);
+        w.part.at(2000 + s * 1500);
+        w.part.direct_answer(&Direct { orders: vec![], ..d.clone() }, Some(&answer));
+        w.answer(&overtaken);
+        w.part.tick(2000 + s * 1500);
+    }
+    assert_eq!(w.part.machines().find(|(_, m)| m.name == "n-1").map(|(_, m)| m.tasks.len()), Some(1));
+}
+
+#[test]
+fn another_attempt_than_the_one_sent_is_taken_for_what_is_there() {
+    let mut w = World::new();
+    w.known("n-1");
+    w.machine("n-2", "a");
+    w.job(spec("wk-1", 1), 50);
+    w.inherit(&[("n-1", "wk-1/0", 9)]);
+    w.tell("n-1", &[("wk-1/0", 7, TaskState::Running, None)]);
+    assert!(starts(&w.tell("n-2", &[])).is_empty());
+    assert_eq!(w.part.counts("wk-1"), Some((0, 1)));
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -35,7 +35,8 @@
 /// Exchanges views with a peer.
 pub async fn ask(http: &awc::Client, addr: SocketAddr, own: &View) -> Option<View> {
     let url = format!("http://{addr}/peer/view");
-    let (status, body) = exchange(http, Method::POST, &url, Some(encode(own)), Duration::from_secs(1), LIMIT).await?;
+    let (status, body) =
+        exchange(http, Method::POST, &url, Some(encode(own)), Duration::from_secs(1), LIMIT, false).await?;
     if status == 200 {
         decode(&body)
     } else {
--- a/src/store.rs
+++ b/src/store.rs
@@ -428,10 +428,17 @@
         body: Option<Vec<u8>>,
         within: Duration,
     ) -> Result<(u16, Vec<u8>), StoreError> {
-        let answer =
-            crate::worker::exchange(&self.http, method, &format!("{}{path}", self.base), body, within, ANSWER_LIMIT)
-                .await
-                .ok_or(StoreError::Unknown)?;
+        let answer = crate::worker::exchange(
+            &self.http,
+            method,
+            &format!("{}{path}", self.base),
+            body,
+            within,
+            ANSWER_LIMIT,
+            false,
+        )
+        .await
+        .ok_or(StoreError::Unknown)?;
         match answer.0 {
             429 => Err(StoreError::Busy),
             503 => Err(StoreError::Refused),
--- a/src/worker.rs
+++ b/src/worker.rs
@@ -4,16 +4,18 @@
 use crate::protocol::{decode, encode, DirectOrders, Report};
 use std::time::Duration;
 
-/// A client that keeps idle connections for a time; every call sets its own time limit.
-pub fn http_client(connections: usize, keep_s: u64) -> awc::Client {
+/// The client all calls go through; every call sets its own time limit.
+pub fn http_client(connections: usize) -> awc::Client {
     let connector = awc::Connector::new()
         .limit(connections)
-        .conn_keep_alive(Duration::from_secs(keep_s))
+        .conn_keep_alive(Duration::from_secs(20))
         .timeout(Duration::from_millis(1500));
     awc::Client::builder().connector(connector).disable_timeout().finish()
 }
 
-/// One request and its answer, or none within the time.
+/// One request and its answer, or none within the time. `close`: its connection is not kept. There are many workers, and
+/// the client closes an idle connection only when it calls the same host again: kept ones once used up all sockets, so
+/// that a leader could not renew its hold.
 pub async fn exchange(
     http: &awc::Client,
     method: awc::http::Method,
@@ -21,9 +23,13 @@
     body: Option<Vec<u8>>,
     within: Duration,
     limit: usize,
+    close: bool,
 ) -> Option<(u16, Vec<u8>)> {
     let call = async {
-        let request = http.request(method, url).insert_header(("content-type", "application/cbor"));
+        let mut request = http.request(method, url).insert_header(("content-type", "application/cbor"));
+        if close {
+            request = request.force_close();
+        }
         let sent = match body {
             Some(body) => request.send_body(body),
             None => request.send(),
@@ -40,7 +46,7 @@
     let body = encode(&DirectOrders { token: d.token, session: d.session, orders: d.orders.clone() });
     let url = format!("http://{}/orders", d.address);
     let within = Duration::from_secs(2);
-    let (status, body) = exchange(http, awc::http::Method::POST, &url, Some(body), within, 8 << 20).await?;
+    let (status, body) = exchange(http, awc::http::Method::POST, &url, Some(body), within, 8 << 20, true).await?;
     let report: Report = if matches!(status, 200 | 409) { decode(&body)? } else { return None };
     (report.machine == d.machine).then_some(report)
 }
