--- a/src/part/placing.rs
+++ b/src/part/placing.rs
@@ -235,7 +235,10 @@
             let other = self.jobs[*j].as_ref()?;
             let a = other.active.get(t)?;
             let spent = if a.phase == Phase::Running { self.now.saturating_sub(a.since) } else { 0 } as f64 / 1000.0;
-            (other.record.spec.kind != Kind::Service).then(|| (other.time_s() / c - spent).max(1.0))
+            // Of what has run for longer than expected nothing says that it will end now: believed to end within a second,
+            // such places kept others waiting for them again and again.
+            let time = other.time_s() / c;
+            (other.record.spec.kind != Kind::Service).then(|| (time - spent).max(time.max(spent) / 4.0))
         });
         let mut ends: Vec<f64> = rest.collect();
         ends.sort_by(f64::total_cmp);
