--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -114,9 +114,52 @@
         out
     }
 
+    /// How much of ordinary machines' CPUs should be free in each zone for replicas to come: the largest rise of late
+    /// within the time that a machine takes to come up.
+    fn reserves(&self, rise_ms: u64) -> HashMap<usize, u64> {
+        let mut out: HashMap<usize, u64> = HashMap::new();
+        let mut lows: HashMap<usize, VecDeque<(u64, u64)>> = HashMap::new();
+        for (at, _, services) in &self.demand {
+            for (zone, now) in services {
+                let low = lows.entry(*zone).or_default();
+                while low.back().is_some_and(|(_, v)| v >= now) {
+                    low.pop_back();
+                }
+                low.push_back((*at, *now));
+                while low.front().is_some_and(|(t, _)| t + rise_ms < *at) {
+                    low.pop_front();
+                }
+                let rise = now - low.front().map_or(*now, |(_, v)| *v);
+                let most = out.entry(*zone).or_default();
+                *most = rise.max(*most);
+            }
+        }
+        out
+    }
+
+    /// Rents ahead of the replicas to come, where too little is free for them.
+    pub fn ahead(&self, part: &Part, rise_ms: u64, now: u64) -> Vec<Wish> {
+        let loads = part.loads();
+        let coming = part.coming_up();
+        let mut out = Vec::new();
+        for (zone, reserve) in self.reserves(rise_ms) {
+            let free: u64 = loads.iter().filter(|l| !l.spot && l.zone == zone).map(|l| l.cpus - l.used).sum();
+            let short = reserve.saturating_sub(free + coming.get(&zone).copied().unwrap_or(0));
+            let offers = part.types().iter().enumerate().filter(|(t, kind)| {
+                kind.zones.iter().any(|z| part.zone_index(z) == Some(zone)) && self.open(&(*t, zone, false), now)
+            });
+            let best = offers.min_by(|(_, a), (_, b)| (a.price / a.cpus).total_cmp(&(b.price / b.cpus)));
+            if let Some((t, kind)) = best.filter(|_| short > 0) {
+                let count = (short as f64 / (kind.cpus * 1000.0)).ceil().min(crate::cloud::RENT_MOST as f64) as u32;
+                out.push(Wish { offer: (t, zone, false), count });
+            }
+        }
+        out
+    }
+
     /// Takes the machine that costs most for what it does out of use, if the rest covers the peak of the last `window_ms`;
     /// takes such machines back when there are needs.
-    pub fn surplus(&mut self, part: &mut Part, needs: &[Need], window_ms: u64, now: u64) {
+    pub fn surplus(&mut self, part: &mut Part, needs: &[Need], window_ms: u64, rise_ms: u64, now: u64) {
         let loads = part.loads();
         let wanted = needs.iter().map(|n| n.need[0] * n.tasks as u64).sum::<u64>();
         let mut services: HashMap<usize, u64> = HashMap::new();
@@ -134,6 +177,8 @@
         let peak = target(self.demand.iter().map(|d| d.1).max().unwrap_or(0));
         let zone_peak = |z: usize| target(self.demand.iter().filter_map(|d| d.2.get(&z).copied()).max().unwrap_or(0));
         let all: u64 = loads.iter().map(|l| l.cpus).sum();
+        let reserves = self.reserves(rise_ms);
+        let free = |z: usize| loads.iter().filter(|l| !l.spot && l.zone == z).map(|l| l.cpus - l.used).sum::<u64>();
         let steady = |z: usize| loads.iter().filter(|l| !l.spot && l.zone == z).map(|l| l.cpus).sum::<u64>();
         let types = part.types();
         let idle_price = |l: &Load| {
@@ -145,6 +190,7 @@
                 && l.services * 4 <= l.cpus
                 && all - l.cpus >= peak
                 && (l.spot || steady(l.zone) - l.cpus >= zone_peak(l.zone))
+                && (l.spot || free(l.zone) >= reserves.get(&l.zone).copied().unwrap_or(0) + l.cpus)
         };
         let go = loads.iter().filter(may_go).max_by(|a, b| idle_price(a).total_cmp(&idle_price(b))).map(|l| l.machine);
         if let Some(i) = go {
@@ -153,14 +199,30 @@
     }
 
     /// Moves machines that should go towards their release: stuck ones, drained ones, idle ones.
-    pub fn returns(&self, part: &mut Part, idle_ms: u64, now: u64) {
+    pub fn returns(&self, part: &mut Part, idle_ms: u64, rise_ms: u64, now: u64) {
         let mut go = Vec::new();
+        let reserves = self.reserves(rise_ms);
+        let mut free: HashMap<usize, u64> = HashMap::new();
+        let mut cpus: HashMap<usize, u64> = HashMap::new();
+        for l in part.loads() {
+            cpus.insert(l.machine, l.cpus);
+            *free.entry(l.zone).or_default() += if l.spot { 0 } else { l.cpus - l.used };
+        }
         for (i, m) in part.machines() {
             let idle = m.idle_since.is_some_and(|s| now > s + idle_ms);
             match m.state {
                 MachineState::Waiting if part.overdue(m, 3.0) => go.push((i, "never came up")),
                 MachineState::Draining if m.idle_since.is_some() => go.push((i, "drained")),
-                MachineState::Up if idle => go.push((i, "idle")),
+                MachineState::Up if idle && m.spot => go.push((i, "idle")),
+                MachineState::Up if idle => {
+                    // What replicas to come will need stays.
+                    let left = free.entry(m.zone).or_default();
+                    let own = cpus.get(&i).copied().unwrap_or(0);
+                    if *left >= reserves.get(&m.zone).copied().unwrap_or(0) + own {
+                        *left -= own;
+                        go.push((i, "idle"));
+                    }
+                }
                 _ => {}
             }
         }
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -120,7 +120,9 @@
                 }
                 if now >= place_at {
                     let from = begun.elapsed();
-                    part.place();
+                    if part.place() {
+                        part.make_room();
+                    }
                     // Passes take a fifth of the time at most, however long one takes on this machine.
                     place_at = now + 2 * PASS_MS.max(2 * (begun.elapsed() - from).as_millis() as u64);
                 }
--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -106,9 +106,13 @@
         let cpus: u64 = part.loads().iter().map(|l| l.cpus).sum();
         tracing::debug!(pending, wanted, used, cpus, "look ahead");
         let boot_s = part.types().iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min).min(600.0);
-        core.fleet.surplus(part, &needs, idle_ms + (boot_s * 1000.0) as u64, now);
-        core.fleet.returns(part, idle_ms, now);
-        core.fleet.wishes(part, &needs, now).into_iter().map(|w| (w.offer, w.count)).collect()
+        // Until a machine that is rented now is up, with some room for slow ones.
+        let rise_ms = (boot_s * 1500.0) as u64 + 5000;
+        core.fleet.surplus(part, &needs, idle_ms + (boot_s * 1000.0) as u64, rise_ms, now);
+        core.fleet.returns(part, idle_ms, rise_ms, now);
+        let mut wishes = core.fleet.wishes(part, &needs, now);
+        wishes.extend(core.fleet.ahead(part, rise_ms, now));
+        wishes.into_iter().map(|w| (w.offer, w.count)).collect()
     }
 
     pub(super) async fn release(&self) -> bool {
--- a/src/part/look.rs
+++ b/src/part/look.rs
@@ -144,6 +144,26 @@
         needs
     }
 
+    /// Stops lower work at once for production tasks that find no room. They do not wait for machines that are coming up,
+    /// nor for the next look ahead, which waits for the cloud's answers.
+    pub fn make_room(&mut self) {
+        let mut queue = self.queue();
+        queue.retain(|j| self.job(*j).record.spec.priority == Priority::Production);
+        if queue.is_empty() {
+            return;
+        }
+        let mut room = Pool::new(self, self.machines().filter(|(_, m)| self.open(m)).map(|(i, m)| (i, self.coming(m))));
+        let mut asked = Vec::<Asked>::new();
+        for j in queue {
+            let job = self.job(j);
+            let left = job.pending().min(self.quota_room(job));
+            let left = room.take(self, job, left, &mut HashMap::new());
+            if left > 0 {
+                self.preempt(j, left, &mut room, &mut asked);
+            }
+        }
+    }
+
     /// Room of a machine, with what is being stopped there.
     fn coming(&self, m: &Machine) -> Amounts {
         if m.stopping == 0 {
@@ -225,6 +245,17 @@
         won
     }
 
+    /// CPUs of ordinary machines that are coming up, by zone.
+    pub fn coming_up(&self) -> HashMap<usize, u64> {
+        let mut out = HashMap::new();
+        for (_, m) in self.machines() {
+            if m.state == MachineState::Waiting && m.tasks.is_empty() && !m.spot && !self.overdue(m, 2.0) {
+                *out.entry(m.zone).or_default() += m.room[0];
+            }
+        }
+        out
+    }
+
     /// The machines that take tasks.
     pub fn loads(&self) -> Vec<Load> {
         let open = self.machines().filter(|(_, m)| m.state == MachineState::Up && m.notice_at.is_none());
