Leases are renewed through an outage for as long as cancel_s allows

The cap at one lease guarded nothing: the heir outwaits the whole window anyway; the hold itself now counts in the margin.

--- a/src/config.rs
+++ b/src/config.rs
@@ -283,8 +283,9 @@
     /// that a task of a job cancelled elsewhere meanwhile is gone in time.
     pub fn ride_ms(&self) -> u64 {
         let w = &self.platform.deployment.workers;
-        let margin = 4.0 + 2.0 * w.report_s;
-        (((w.cancel_s - w.lease_s * 1.001 - margin) * 1000.0).max(0.0) as u64).min((w.lease_s * 1000.0) as u64)
+        // The hold itself, the watch's lag, and what a report may be under way.
+        let margin = self.operator.hold_s + 1.5 + 2.0 * w.report_s;
+        ((w.cancel_s - w.lease_s * 1.001 - margin) * 1000.0).max(0.0) as u64
     }
 }
 
@@ -347,6 +348,12 @@
     fn riding_out_an_outage_ends_before_a_cancelled_task_could_overstay() {
         let s = settings();
         let w = &s.platform.deployment.workers;
-        assert!((s.ride_ms() as f64) / 1000.0 + w.lease_s + 2.0 * w.report_s < w.cancel_s);
+        assert!(s.operator.hold_s + (s.ride_ms() as f64) / 1000.0 + w.lease_s + 2.0 * w.report_s < w.cancel_s);
+        // A longer hold leaves less, never an overstay.
+        let mut long = settings();
+        long.operator.hold_s = 20.0;
+        let w = &long.platform.deployment.workers;
+        assert!(long.operator.hold_s + (long.ride_ms() as f64) / 1000.0 + w.lease_s <= w.cancel_s);
+        assert!(long.ride_ms() < s.ride_ms());
     }
 }
