--- a/src/limiter.rs
+++ b/src/limiter.rs
@@ -1,12 +1,15 @@
 //! A limit on user requests in progress that adjusts itself to measured times.
 //!
-//! The limit grows while requests finish about as fast as they ever do, and shrinks when they take much longer: then
-//! they are waiting for each other, and one more only makes all of them later.
+//! The limit grows while requests finish about as fast as they ever do, and shrinks when they take much longer, and
+//! longer than users care about: then they are waiting for each other, and one more only makes all of them later.
 
 use hdrhistogram::Histogram;
 
 const WINDOW: u64 = 20;
-const LEAST: f64 = 4.0;
+const LEAST: f64 = 8.0;
+/// Nobody is helped by a refusal of what takes less: a quarter of the 2 s that users allow a poll. A state service that
+/// answered slowly, but answered, once had nearly everyone refused.
+const CARE_MS: f64 = 500.0;
 const MOST: f64 = 512.0;
 
 /// The limiter; all times in milliseconds.
@@ -55,7 +58,7 @@
         let usual = self.window.value_at_quantile(0.5) as f64;
         // The best time is forgotten slowly, so that a service that has become slower for good is learned.
         self.best_ms = (self.best_ms * 1.02).min(usual).max(5.0);
-        if usual > 4.0 * self.best_ms {
+        if usual > (4.0 * self.best_ms).max(CARE_MS) {
             self.limit = (self.limit * 0.85).max(LEAST);
         } else if self.peak * 2 >= self.limit as usize {
             self.limit = (self.limit + 2.0).min(MOST);
@@ -88,6 +91,8 @@
         let grown = l.limit();
         assert!(grown > 32);
         rounds(&mut l, 60, 400, 30);
+        assert!(l.limit() >= grown, "slower, but nobody minds");
+        rounds(&mut l, 60, 900, 30);
         assert!(l.limit() < grown / 2);
         (0..1000).for_each(|_| {
             l.enter();
