--- a/src/part/look.rs
+++ b/src/part/look.rs
@@ -87,6 +87,9 @@
     }
 }
 
+/// A start counts for its users if nothing stops the task within this time.
+const COUNTS_MS: u64 = 30_000;
+
 /// Who looked for somebody to displace in vain: priority, within a guarantee, team, need.
 type Asked = (Priority, bool, Option<usize>, Amounts);
 
@@ -154,13 +157,73 @@
         }
         let mut room = Pool::new(self, self.machines().filter(|(_, m)| self.open(m)).map(|(i, m)| (i, self.coming(m))));
         let mut asked = Vec::<Asked>::new();
+        // What is being stopped of a team, less what those before in the queue will use of it.
+        let mut ending = self.team_ending.clone();
         for j in queue {
             let job = self.job(j);
-            let left = job.pending().min(self.quota_room(job));
-            let left = room.take(self, job, left, &mut HashMap::new());
+            let now = job.pending().min(self.quota_room(job));
+            let left = room.take(self, job, now, &mut HashMap::new());
             if left > 0 {
                 self.preempt(j, left, &mut room, &mut asked);
             }
+            let short = self.job(j).pending() - now;
+            if short > 0 {
+                self.yield_quota(j, short, &mut ending);
+            }
+        }
+    }
+
+    /// Stops lower work of a job's own team, which is at its limit, for up to `n` of its tasks.
+    fn yield_quota(&mut self, j: usize, n: u32, ending: &mut [[u64; 2]]) {
+        let job = self.job(j);
+        let Some(team) = job.team else { return };
+        let (need, priority) = (job.need, job.record.spec.priority);
+        let limit = self.p.teams[team].limit;
+        // Where limits are lifted or lowered the team may be over them; then nothing of this helps.
+        let mut wanted: [u64; 2] = std::array::from_fn(|r| {
+            let over = self.team_use[team][r].saturating_add(need[r].saturating_mul(n as u64));
+            over.saturating_sub(limit[r])
+        });
+        for r in 0..2 {
+            let used = wanted[r].min(ending[team][r]);
+            wanted[r] -= used;
+            ending[team][r] -= used;
+        }
+        if wanted == [0; 2] {
+            return;
+        }
+        let holders = self.holders.get(&job.image);
+        let mut victims: Vec<_> = Vec::new();
+        for &vj in &self.by_age {
+            let v = self.job(vj);
+            if v.team != Some(team) || v.ended || v.record.spec.priority <= priority {
+                continue;
+            }
+            for (&vt, a) in &v.active {
+                if matches!(a.phase, Phase::Stopping { .. }) {
+                    continue;
+                }
+                let m = self.machine(a.machine);
+                // Where the room that comes free is of use as well.
+                let apart = !self.may_host(job, m) || !holders.is_some_and(|h| h.contains(&a.machine));
+                let fresh = self.now < a.since + COUNTS_MS;
+                let often = v.displaced.get(&vt).copied().unwrap_or(0);
+                let spec = &v.record.spec;
+                let lost = if spec.checkpoint_s > 0.0 { 0 } else { self.now.saturating_sub(a.since) };
+                victims.push((std::cmp::Reverse(spec.priority), often, fresh, apart, lost, vj, vt));
+            }
+        }
+        victims.sort_unstable();
+        for (.., vj, vt) in victims {
+            if wanted == [0; 2] {
+                break;
+            }
+            let v = self.job(vj);
+            let (freed, save) = (v.need, v.record.spec.checkpoint_s > 0.0);
+            tracing::info!(job = %v.record.spec.id, task = vt, for_job = %self.job(j).record.spec.id, "preempted for quota");
+            *self.job_mut(vj).displaced.entry(vt).or_default() += 1;
+            self.step(vj, vt, Step::Stop { save });
+            wanted = std::array::from_fn(|r| wanted[r].saturating_sub(freed[r]));
         }
     }
 
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -397,6 +397,8 @@
     machines: Vec<Option<Machine>>,
     machine_index: HashMap<String, usize>,
     team_use: Vec<[u64; 2]>,
+    /// What of it is being stopped.
+    team_ending: Vec<[u64; 2]>,
     attempts: u64,
     log: StartLog,
     /// Machines with starts or stops to be sent.
@@ -431,6 +433,7 @@
             machines: Vec::new(),
             machine_index: HashMap::new(),
             team_use: vec![[0; 2]; teams],
+            team_ending: vec![[0; 2]; teams],
             attempts: 0,
             log: StartLog::default(),
             outbox: BTreeSet::new(),
@@ -761,6 +764,11 @@
         let stops = |a: Option<Active>| a.is_some_and(|a| matches!(a.phase, Phase::Stopping { .. }));
         let job = self.job_mut(j);
         job.running = job.running + runs(next) as u32 - runs(old) as u32;
+        let need = job.need;
+        if let Some(team) = job.team.filter(|_| stops(next) != stops(old)) {
+            let e = &mut self.team_ending[team];
+            *e = std::array::from_fn(|r| if stops(next) { e[r] + need[r] } else { e[r] - need[r] });
+        }
         let Some(at) = next.or(old).map(|a| a.machine) else { return };
         let m = self.machine_mut(at);
         m.stopping = m.stopping + stops(next) as u32 - stops(old) as u32;
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -887,3 +887,32 @@
     w.tick(1200);
     assert_eq!(w.part.direct(9).len(), 1);
 }
+
+#[test]
+fn a_replica_takes_the_place_of_lower_work_of_its_own_team_at_the_limit() {
+    let mut w = World::with(8000);
+    w.machine("n-1", "a");
+    w.machine("n-2", "a");
+    w.job(JobSpec { priority: Priority::Low, checkpoint_s: 10.0, save_s: 3.0, ..spec("wk-1", 4) }, 101);
+    w.tick(1100);
+    for d in w.part.direct(9) {
+        let got = starts(&d.orders);
+        let lines: Vec<_> = got.iter().map(|g| (g.0.as_str(), g.1, TaskState::Running, None)).collect();
+        let r = w.report(&d.machine, w.token(), &lines);
+        w.part.direct_answer(&d, Some(&r));
+    }
+    w.job(JobSpec { kind: Kind::Service, priority: Priority::Production, ..spec("wk-2", 1) }, 102);
+    let ending = |w: &World| w.part.team_ending[0][0];
+    for _ in 0..3 {
+        w.tick(1200);
+        w.part.make_room();
+        // One task saves and ends, once.
+        assert_eq!(ending(&w), 2000);
+    }
+    let stop = w.part.direct(9).remove(0);
+    assert!(matches!(stop.orders[..], [Order::Stop { grace_s, .. }] if grace_s == 3.0));
+    // Equal work does not yield.
+    w.job(JobSpec { priority: Priority::Low, ..spec("wk-3", 4) }, 103);
+    w.part.make_room();
+    assert_eq!(ending(&w), 2000);
+}
