Free holders in slower groups count in the transfer test

Cause: the test compared a transfer only with waiting for full holders; a free holder in a slower group was passed over for a machine of the fastest group that had to fetch, though its wait is nothing.

--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -102,9 +102,14 @@
         let needs = part.look_ahead(true);
         let wanted: u32 = needs.iter().map(|n| n.tasks).sum();
         let pending: u32 = part.jobs().map(|j| j.pending()).sum();
-        let used: u64 = part.loads().iter().map(|l| l.used).sum();
-        let cpus: u64 = part.loads().iter().map(|l| l.cpus).sum();
-        tracing::debug!(pending, wanted, used, cpus, "look ahead");
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let mut by_offer: BTreeMap<Offer, [u64; 4]> = BTreeMap::new();
+            for l in part.loads() {
+                let sum = by_offer.entry((l.kind, l.zone, l.spot)).or_default();
+                *sum = [sum[0] + 1, sum[1] + l.cpus, sum[2] + l.used, sum[3] + l.services];
+            }
+            tracing::debug!(pending, wanted, machines_cpus_used_services = ?by_offer, "look ahead");
+        }
         let boot_s = part.types().iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min).min(600.0);
         // Until a machine that is rented now is up, with some room for slow ones.
         let rise_ms = (boot_s * 1500.0) as u64 + 5000;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,5 +1,7 @@
 //! Where tasks should run, after DGNS: measured capability, fastest group first, holders first, the transfer test.
 
+use std::collections::{HashMap, HashSet};
+
 /// Number of classes: a job's dominant requested resource.
 pub const CLASSES: usize = 3;
 /// Weight of a new measurement in a running mean.
@@ -76,14 +78,20 @@
 /// the next one has to look further: without that, a whole queue would wait for one place while machines stand idle.
 pub fn plan(mut candidates: Vec<Candidate>, ask: Ask) -> Plan {
     candidates.sort_by(|a, b| b.c.total_cmp(&a.c));
-    // Places to wait for: expected completion there, and the machine; the soonest last.
-    let mut places: Vec<(f64, usize)> = Vec::new();
+    // Places on holders: expected completion there, the machine, and whether it is free now; the soonest last. A holder in
+    // a slower group may have room that beats a transfer in a faster one.
+    let mut places: Vec<(f64, usize, bool)> = Vec::new();
     if ask.transfer_test {
-        for h in candidates.iter().filter(|h| h.holder && h.room == 0) {
-            places.extend(h.ends_s.iter().map(|end| (ask.time_s / h.c + end, h.machine)));
+        for h in candidates.iter().filter(|h| h.holder) {
+            let free = h.room.min(ask.tasks) as usize;
+            places.extend(std::iter::repeat_n((ask.time_s / h.c, h.machine, true), free));
+            places.extend(h.ends_s.iter().map(|end| (ask.time_s / h.c + end, h.machine, false)));
         }
         places.sort_by(|a, b| b.0.total_cmp(&a.0));
     }
+    // What was taken of holders ahead of their group's turn, and whose turn has passed.
+    let mut taken: HashMap<usize, u32> = HashMap::new();
+    let mut done: HashSet<usize> = HashSet::new();
     let mut left = ask.tasks;
     let mut out = Plan::default();
     let mut from = 0;
@@ -96,14 +104,21 @@
             if !m.holder {
                 // Equation (5) of the paper with its sides named.
                 let here = ask.time_s / m.c + ask.transfer_s;
-                while left > 0 && places.last().is_some_and(|(there, _)| here >= *there) {
-                    if let Some((_, holder)) = places.pop() {
+                while left > 0 && places.last().is_some_and(|(there, ..)| here >= *there) {
+                    let Some((_, holder, free)) = places.pop() else { break };
+                    if !free {
                         out.later.push((holder, 1));
-                        left -= 1;
+                    } else if done.contains(&holder) {
+                        continue;
+                    } else {
+                        *taken.entry(holder).or_default() += 1;
+                        out.now.push((holder, 1));
                     }
+                    left -= 1;
                 }
             }
-            let n = m.room.min(left);
+            let n = (m.room - taken.get(&m.machine).copied().unwrap_or(0)).min(left);
+            done.insert(m.machine);
             if n > 0 {
                 out.now.push((m.machine, n));
                 left -= n;
@@ -139,6 +154,16 @@
         assert_eq!(plan(with(5.0), Ask { transfer_test: false, ..ask(1) }).now, vec![(1, 1)]);
     }
 
+    #[test]
+    fn a_free_holder_of_a_slower_group_beats_a_transfer() {
+        // A replica has no task time: only the transfer counts.
+        let all = vec![m(0, 0.7, true, 2, &[]), m(1, 1.0, false, 9, &[])];
+        let plan = |time_s, tasks| plan(all.clone(), Ask { tasks, time_s, ..ask(0) }).now;
+        assert_eq!(plan(0.0, 3), vec![(0, 1), (0, 1), (1, 1)]);
+        // A long task is worth the transfer to the faster machine.
+        assert_eq!(plan(600.0, 3), vec![(1, 3)]);
+    }
+
     #[test]
     fn a_place_is_waited_for_once() {
         // All of a queue once waited for the same place while other machines stood idle.
