--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -192,7 +192,7 @@
         for (name, h) in &self.mirror.hires {
             let h = &h.record;
             for machine in h.machines.iter().flatten() {
-                part.add_machine(machine, name, (&h.machine_type, &h.zone, h.spot));
+                part.add_machine(machine, name, (&h.machine_type, &h.zone, h.spot), false);
             }
         }
         for (id, v) in &self.mirror.live {
--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -192,7 +192,7 @@
         let Some(part) = core.part.as_mut() else { return };
         part.at(now);
         for m in r.machines.iter().flatten() {
-            part.add_machine(m, hire, (&r.machine_type, &r.zone, r.spot));
+            part.add_machine(m, hire, (&r.machine_type, &r.zone, r.spot), true);
         }
     }
 
@@ -213,8 +213,7 @@
             for m in machines {
                 match known.get(&m.id) {
                     Some(i) if m.state == "failed" => part.enter(*i, MachineState::Releasing, "failed"),
-                    Some(i) if m.state == "running" => part.listed_running(*i, &m.address),
-                    Some(_) => {}
+                    Some(i) => part.listed(*i, m.state == "running", &m.address),
                     None if !settled || core.released.contains_key(&m.id) || core.strangers.len() > STRANGERS => {}
                     None => {
                         let (machine_type, zone, spot) = (m.machine_type, m.zone, m.spot);
--- a/src/part/look.rs
+++ b/src/part/look.rs
@@ -97,9 +97,8 @@
     /// Looks ahead: stops lower work where a higher job or a guarantee has a claim, and returns what finds no room even
     /// on the machines that are coming up.
     pub fn look_ahead(&mut self, preempt: bool) -> Vec<Need> {
-        let waiting = |m: &Machine| m.state == MachineState::Waiting && m.tasks.is_empty() && !self.overdue(m, 2.0);
         let mut room = Pool::new(self, self.machines().filter(|(_, m)| self.open(m)).map(|(i, m)| (i, self.coming(m))));
-        let mut later = Pool::new(self, self.machines().filter(|(_, m)| waiting(m)).map(|(i, m)| (i, m.room)));
+        let mut later = Pool::new(self, self.machines().filter(|(_, m)| self.on_its_way(m)).map(|(i, m)| (i, m.room)));
         let mut team_left: Vec<[u64; 2]> = (0..self.p.teams.len())
             .map(|t| std::array::from_fn(|r| self.p.teams[t].limit[r].saturating_sub(self.team_use[t][r])))
             .collect();
@@ -312,7 +311,7 @@
     pub fn coming_up(&self) -> HashMap<usize, u64> {
         let mut out = HashMap::new();
         for (_, m) in self.machines() {
-            if m.state == MachineState::Waiting && m.tasks.is_empty() && !m.spot && !self.overdue(m, 2.0) {
+            if !m.spot && self.on_its_way(m) {
                 *out.entry(m.zone).or_default() += m.room[0];
             }
         }
--- a/src/part/machines.rs
+++ b/src/part/machines.rs
@@ -8,8 +8,9 @@
 const LEASE_MARGIN_MS: u64 = 500;
 
 impl Part {
-    /// Takes in a machine that the store records.
-    pub fn add_machine(&mut self, name: &str, hire: &str, of: (&str, &str, bool)) {
+    /// Takes in a machine that the store records. `surely`: it was rented just now. One of an earlier epoch may have been
+    /// released or taken meanwhile; an heir once counted on the room of such machines for most of a minute.
+    pub fn add_machine(&mut self, name: &str, hire: &str, of: (&str, &str, bool), surely: bool) {
         if self.knows(name) || !plain(name) {
             return;
         }
@@ -35,6 +36,7 @@
             last_live: (0, 0),
             current: false,
             reported_at: None,
+            surely,
             contacted: false,
             last_heard: self.now,
             last_answer: self.now,
@@ -96,10 +98,14 @@
         self.machines().filter(|(_, m)| !m.current && !m.tasks.is_empty()).count()
     }
 
-    /// The cloud lists a machine as running: from now on it should be heard.
-    pub fn listed_running(&mut self, i: usize, address: &str) {
+    /// The cloud lists a machine. If it is running, it should be heard from now on.
+    pub fn listed(&mut self, i: usize, running: bool, address: &str) {
         let now = self.now;
         let m = self.machine_mut(i);
+        m.surely = true;
+        if !running {
+            return;
+        }
         if m.address.is_empty() {
             m.address = address.to_string();
         }
@@ -115,6 +121,11 @@
         m.state == MachineState::Waiting && self.now > m.since + ((boot * times + 10.0) * 1000.0) as u64
     }
 
+    /// Whether a machine is on its way up, so that its room may be counted on.
+    pub(super) fn on_its_way(&self, m: &Machine) -> bool {
+        m.state == MachineState::Waiting && m.surely && m.tasks.is_empty() && !self.overdue(m, 2.0)
+    }
+
     fn lease_over(&self, m: &Machine) -> bool {
         self.now > m.last_answer + self.p.lease_ms + self.p.lease_ms / 500 + LEASE_MARGIN_MS
     }
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -324,6 +324,8 @@
     current: bool,
     /// When its last report, under whichever token, arrived.
     reported_at: Option<u64>,
+    /// Rented in this epoch, or the cloud has listed it in this epoch: only then its room may be counted on.
+    surely: bool,
     /// Known to be up: it has reported, holds tasks, or is listed as running.
     contacted: bool,
     /// When a report under the current token last arrived, or when it became known to be up. Reports under an older
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -82,14 +82,14 @@
 
     /// A machine of this epoch, up.
     fn machine(&mut self, name: &str, zone: &str) {
-        self.part.add_machine(name, "h", ("m8", zone, false));
+        self.part.add_machine(name, "h", ("m8", zone, false), true);
         self.tell_token(name, 0, &[]);
         self.tell_token(name, self.token(), &[]);
     }
 
     /// A machine of a hire that was made before this epoch.
     fn known(&mut self, name: &str) {
-        self.part.add_machine(name, "h", ("m8", "a", false));
+        self.part.add_machine(name, "h", ("m8", "a", false), false);
     }
 
     /// The start log of earlier epochs: machine, task, attempt.
@@ -916,3 +916,20 @@
     w.part.make_room();
     assert_eq!(ending(&w), 2000);
 }
+
+#[test]
+fn an_heir_counts_on_a_machine_of_an_earlier_hire_only_once_it_is_listed() {
+    let mut w = World::new();
+    w.known("n-1");
+    w.job(spec("wk-1", 2), 101);
+    w.tick(1100);
+    assert_eq!(w.part.look_ahead(false).iter().map(|n| n.tasks).sum::<u32>(), 2);
+    let i = w.part.machine_index["n-1"];
+    w.part.listed(i, false, "");
+    assert!(w.part.look_ahead(false).is_empty());
+    // Listed as running, it is missed if it does not report.
+    w.part.listed(i, true, "1.2.3.4:9");
+    w.part.tick(9000);
+    assert_eq!(w.part.silent(5000).0, vec![i]);
+    assert_eq!(w.part.probes(9).len(), 1);
+}
