--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -11,7 +11,7 @@
             let (reign, sent, free) = {
                 let core = self.core.borrow();
                 let now = core.now();
-                let free = core.mirror.loaded && core.mirror.leader.is_none() && now >= core.no_campaign_until;
+                let free = core.mirror.loaded && core.free_to_claim() && now >= core.no_campaign_until;
                 (core.reign(), now, free)
             };
             if let Some((_, _, hold)) = reign {
@@ -26,7 +26,7 @@
                 }
             } else if free {
                 pause(rand::thread_rng().gen_range(0..60)).await;
-                if self.core.borrow().mirror.leader.is_none() {
+                if self.core.borrow().free_to_claim() {
                     self.run_for_leader(ttl).await;
                 }
             }
@@ -61,17 +61,18 @@
 
     /// Claims leadership under a hold: the epoch's number and version.
     pub(super) async fn claim(&self, hold: u64) -> Option<(u64, u64, u64)> {
-        let (me, number, version) = {
+        let (me, number, version, leader) = {
             let mut core = self.core.borrow_mut();
             let core = &mut *core;
             let epoch = core.mirror.epoch.as_ref();
             core.unlogged = epoch.is_some_and(|e| !e.record.logs_starts);
-            (core.me.clone(), epoch.map_or(0, |e| e.record.number) + 1, epoch.map_or(0, |e| e.version))
+            let leader = core.mirror.leader.as_ref().map_or(0, |l| l.version);
+            (core.me.clone(), epoch.map_or(0, |e| e.record.number) + 1, epoch.map_or(0, |e| e.version), leader)
         };
         let members = vec![me.clone()];
         let record = store::EpochRecord { number, leader: me.clone(), members, logs_starts: true };
         let txn = Txn {
-            guards: vec![guard(store::leader_key(), 0), guard(store::epoch_key(), version)],
+            guards: vec![guard(store::leader_key(), leader), guard(store::epoch_key(), version)],
             apply: vec![put(store::leader_key(), &me, Some(hold)), put(store::epoch_key(), &record, None)],
         };
         match self.txn(&txn).await {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Whether leadership may be claimed: nobody leads, or this node's own last process. That one's hold need not be waited
+    /// for: what it may have started is in the log, and what it wrote last carries its epoch.
+    fn free_to_claim(&self) -> bool {
+        self.mirror.leader.as_ref().is_none_or(|l| l.record.ended_before(&self.me))
+    }
+
     fn turn(&mut self, turn: Turn) {
         if self.lead.turn(turn) && self.reign().is_none() {
             self.part = None;
--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -6,7 +6,7 @@
     pub(super) async fn fleet(self) {
         let (gap, list_ms) = {
             let c = &self.core.borrow().settings.platform.deployment.cloud;
-            ((1000.0 / c.rps) as u64 + 50, ((c.list_lag_s * 500.0) as u64).max(4000))
+            ((1000.0 / c.rps) as u64 + 50, ((c.list_lag_s * 1000.0) as u64).max(4000))
         };
         let (mut types_at, mut list_at) = (None::<u64>, 0);
         loop {
--- a/src/part/look.rs
+++ b/src/part/look.rs
@@ -149,8 +149,7 @@
     /// Stops lower work at once for production tasks that find no room. They do not wait for machines that are coming up,
     /// nor for the next look ahead, which waits for the cloud's answers.
     pub fn make_room(&mut self) {
-        let mut queue = self.queue();
-        queue.retain(|j| self.job(*j).record.spec.priority == Priority::Production);
+        let queue = std::mem::take(&mut self.urgent);
         if queue.is_empty() {
             return;
         }
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -414,6 +414,8 @@
     /// Finished ranges that are not stored yet, and since when.
     dirty: BTreeMap<(usize, u32), u64>,
     fetch_rate: HashMap<usize, f64>,
+    /// Production jobs that the last pass has left with tasks to place, in their order.
+    urgent: Vec<usize>,
     changed: bool,
 }
 
@@ -444,6 +446,7 @@
             by_age: Vec::new(),
             dirty: BTreeMap::new(),
             fetch_rate: HashMap::new(),
+            urgent: Vec::new(),
             changed: true,
         }
     }
@@ -635,6 +638,7 @@
         over.into_iter()
             .filter_map(|i| {
                 self.by_age.retain(|k| *k != i);
+                self.urgent.retain(|k| *k != i);
                 let job = self.jobs[i].take()?;
                 self.free_jobs.push(i);
                 self.dirty.retain(|(j, _), _| *j != i);
--- a/src/part/placing.rs
+++ b/src/part/placing.rs
@@ -145,6 +145,7 @@
             return false;
         }
         let queue = self.queue();
+        self.urgent.clear();
         if queue.is_empty() {
             return true;
         }
@@ -169,15 +170,19 @@
             *mean = if n > 0 { sum / n as f64 } else { 1.0 };
         }
         for j in queue {
-            if pass.open.is_empty() {
+            let production = self.job(j).record.spec.priority == Priority::Production;
+            if pass.open.is_empty() && !production {
                 break;
             }
-            if !pass.vain.covers(self.job(j)) {
+            if !pass.open.is_empty() && !pass.vain.covers(self.job(j)) {
                 self.place_job(j, &mut pass);
             }
             if self.job(j).pending() == 0 {
                 continue;
             }
+            if production {
+                self.urgent.push(j);
+            }
             // What has filled up meanwhile is not looked at again.
             let machines = &self.machines;
             pass.open.retain(|i| machines[*i].as_ref().is_some_and(|m| fits(&least, &m.room) > 0));
--- a/src/store.rs
+++ b/src/store.rs
@@ -79,6 +79,14 @@
     pub incarnation: u64,
 }
 
+impl LeaderRecord {
+    /// Whether this was an earlier process of the same node: one that has ended, since this one runs. It is told apart by
+    /// its incarnation, so that its key and hold are never taken for one's own.
+    pub fn ended_before(&self, me: &LeaderRecord) -> bool {
+        self.node == me.node && self.incarnation != me.incarnation
+    }
+}
+
 /// The current epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EpochRecord {
@@ -639,6 +647,24 @@
         assert!(s.run(&hire_txn(&now, "a-1-1", version, &answered)) && !s.has(hire_key("a-1-1")));
     }
 
+    #[test]
+    fn a_process_that_is_back_at_once_is_not_its_predecessor() {
+        let of = |node: &str, incarnation| LeaderRecord { node: node.into(), incarnation };
+        let me = of("a", 2);
+        assert!(of("a", 1).ended_before(&me));
+        assert!(!me.ended_before(&me) && !of("b", 1).ended_before(&me));
+        // Its claim: the predecessor's late one and a repeated one of its own fail.
+        let mut s = Service::default();
+        let claim = |epoch, leader| Txn {
+            guards: vec![guard(leader_key(), leader), guard(epoch_key(), epoch)],
+            apply: vec![put(leader_key(), &1, None), put(epoch_key(), &1, None)],
+        };
+        let old = claim(0, 0);
+        assert!(s.run(&old));
+        let mine = claim(s.revision, s.revision);
+        assert!(s.run(&mine) && !s.run(&old) && !s.run(&mine));
+    }
+
     #[test]
     fn bits_survive_as_text() {
         let bits = vec![0, 255, 16, 7];
