--- a/src/part/look.rs
+++ b/src/part/look.rs
@@ -50,11 +50,12 @@
 impl Pool {
     fn new(part: &Part, rooms: impl Iterator<Item = (usize, Amounts)>) -> Pool {
         let mut pool = Pool { order: Vec::new(), room: vec![[0; 3]; part.machines.len()] };
+        let mut ordinary = Vec::new();
         for (i, room) in rooms {
-            pool.order.push(i);
+            if part.machine(i).spot { &mut pool.order } else { &mut ordinary }.push(i);
             pool.room[i] = room;
         }
-        pool.order.sort_by_key(|i| (!part.machine(*i).spot, *i));
+        pool.order.append(&mut ordinary);
         pool
     }
 
--- a/src/part/placing.rs
+++ b/src/part/placing.rs
@@ -277,6 +277,7 @@
         let rate = self.fetch_rate.get(&kind).copied().unwrap_or(self.p.fetch_gb_per_s).max(0.001);
         let ask = Ask {
             tasks: left,
+            waiting: left,
             time_s: job.time_s(),
             transfer_s: job.record.spec.image_gb / rate,
             group_factor: self.p.group_factor,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -52,8 +52,10 @@
 /// What is known of a job's tasks.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask {
-    /// How many tasks to place.
+    /// How many places to find.
     pub tasks: u32,
+    /// How many tasks wait; fewer than places where a zone's cap may leave some unused.
+    pub waiting: u32,
     /// Expected time on a machine with c = 1.
     pub time_s: f64,
     /// Image size over the fetch rate.
@@ -83,7 +85,7 @@
     let mut places: Vec<(f64, usize, bool)> = Vec::new();
     if ask.transfer_test {
         for h in candidates.iter().filter(|h| h.holder) {
-            let free = h.room.min(ask.tasks) as usize;
+            let free = h.room.min(ask.waiting) as usize;
             places.extend(std::iter::repeat_n((ask.time_s / h.c, h.machine, true), free));
             places.extend(h.ends_s.iter().map(|end| (ask.time_s / h.c + end, h.machine, false)));
         }
@@ -137,7 +139,7 @@
         Candidate { machine, c, holder, room, ends_s: ends_s.to_vec(), order: machine as u64 }
     }
     fn ask(tasks: u32) -> Ask {
-        Ask { tasks, time_s: 60.0, transfer_s: 20.0, group_factor: 1.25, transfer_test: true }
+        Ask { tasks, waiting: tasks, time_s: 60.0, transfer_s: 20.0, group_factor: 1.25, transfer_test: true }
     }
 
     #[test]
@@ -158,7 +160,7 @@
     fn a_free_holder_of_a_slower_group_beats_a_transfer() {
         // A replica has no task time: only the transfer counts.
         let all = vec![m(0, 0.7, true, 2, &[]), m(1, 1.0, false, 9, &[])];
-        let plan = |time_s, tasks| plan(all.clone(), Ask { tasks, time_s, ..ask(0) }).now;
+        let plan = |time_s, tasks| plan(all.clone(), Ask { time_s, ..ask(tasks) }).now;
         assert_eq!(plan(0.0, 3), vec![(0, 1), (0, 1), (1, 1)]);
         // A long task is worth the transfer to the faster machine.
         assert_eq!(plan(600.0, 3), vec![(1, 3)]);
