--- a/src/part/look.rs
+++ b/src/part/look.rs
@@ -138,7 +138,7 @@
                     .collect()
             });
             if preempt {
-                left -= self.preempt(j, left, &mut room, &mut asked);
+                left -= self.preempt(j, left, &mut room, &mut zones, &mut asked);
             }
             if left > 0 {
                 needs.push(Need { need, tasks: left, spot, types, zones: zone.map(|z| vec![z]).or(capped), service });
@@ -161,9 +161,10 @@
         for j in queue {
             let job = self.job(j);
             let now = job.pending().min(self.quota_room(job));
-            let left = room.take(self, job, now, &mut HashMap::new());
+            let mut zones = HashMap::new();
+            let left = room.take(self, job, now, &mut zones);
             if left > 0 {
-                self.preempt(j, left, &mut room, &mut asked);
+                self.preempt(j, left, &mut room, &mut zones, &mut asked);
             }
             let short = self.job(j).pending() - now;
             if short > 0 {
@@ -239,7 +240,15 @@
     }
 
     /// Stops lower work for up to `n` tasks of a job; returns for how many.
-    fn preempt(&mut self, j: usize, n: u32, room: &mut Pool, asked: &mut Vec<Asked>) -> u32 {
+    /// `zones`: what was found or won for the job in each zone already.
+    fn preempt(
+        &mut self,
+        j: usize,
+        n: u32,
+        room: &mut Pool,
+        zones: &mut HashMap<usize, u32>,
+        asked: &mut Vec<Asked>,
+    ) -> u32 {
         let job = self.job(j);
         let (need, priority, within, team) = (job.need, job.record.spec.priority, job.within, job.team);
         let key = (priority, within, team, need);
@@ -280,7 +289,7 @@
             // that loses the least.
             victims.sort_by_key(|v| (std::cmp::Reverse(v.0), v.1, std::cmp::Reverse(v.2)));
             let mut victims = victims.into_iter();
-            while won < n && self.zone_cap(self.job(j), zone) > 0 {
+            while won < n && self.zone_cap(self.job(j), zone) > zones.get(&zone).copied().unwrap_or(0) {
                 let mut r = room.room[i];
                 let mut chosen = Vec::new();
                 while fits(&need, &r) == 0 {
@@ -298,6 +307,7 @@
                     self.step(vj, vt, Step::Stop { save });
                 }
                 room.room[i] = less(&r, &need, 1);
+                *zones.entry(zone).or_default() += 1;
                 won += 1;
             }
         }
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -933,3 +933,18 @@
     assert_eq!(w.part.silent(5000).0, vec![i]);
     assert_eq!(w.part.probes(9).len(), 1);
 }
+
+#[test]
+fn a_spread_job_displaces_no_more_in_a_zone_than_it_may_use() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(spec("wk-1", 4), 101);
+    let got = starts(&w.tell("n-1", &[]));
+    let lines: Vec<_> = got.iter().map(|g| (g.0.as_str(), g.1, TaskState::Running, None)).collect();
+    w.tell("n-1", &lines);
+    // Two of the four may be in zone a; there is no other zone with machines.
+    w.job(JobSpec { kind: Kind::Service, priority: Priority::Production, scatter: true, ..spec("wk-2", 4) }, 102);
+    w.tick(1200);
+    w.part.make_room();
+    assert_eq!(w.part.team_ending[0][0], 4000);
+}
