--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -264,10 +264,13 @@
     w.job(spec("wk-1", 1), 50);
     w.inherit(&[("n-1", "wk-1/0", 7)]);
     // The earlier leader may have renewed its lease until RIDE after this epoch began.
-    w.tick(1000 + LEASE + RIDE);
-    assert!(starts(&w.tell("n-9", &[])).is_empty());
-    w.tick(1000 + LEASE + RIDE + 1000);
-    assert_eq!(starts(&w.tell("n-9", &[])).len(), 1);
+    for (after, placed) in [(0, 0), (1000, 1)] {
+        // A machine that is heard just now could take the task.
+        w.part.at(1000 + LEASE + RIDE + after);
+        w.tell("n-9", &[]);
+        w.tick(1000 + LEASE + RIDE + after);
+        assert_eq!(starts(&w.tell("n-9", &[])).len(), placed);
+    }
 }
 
 #[test]
@@ -277,6 +280,8 @@
     w.machine("n-9", "a");
     w.job(spec("wk-1", 1), 50);
     w.inherit(&[("n-1", "wk-1/0", 7)]);
+    w.tell("n-9", &[]);
+    w.part.stir();
     assert!(starts(&w.tell("n-9", &[])).is_empty());
     w.part.machine_gone("n-1");
     assert_eq!(starts(&w.tell("n-9", &[])).len(), 1);
@@ -948,3 +953,17 @@
     w.part.make_room();
     assert_eq!(w.part.team_ending[0][0], 4000);
 }
+
+#[test]
+fn the_answer_to_an_heirs_probe_tells_at_once_what_is_gone() {
+    let mut w = World::new();
+    w.known("n-1");
+    w.job(spec("wk-1", 1), 50);
+    w.inherit(&[("n-1", "wk-1/0", 7)]);
+    w.tick(1100);
+    let probe = w.part.probes(9).remove(0);
+    let answer = w.report("n-1", w.token(), &[]);
+    w.part.direct_answer(&probe, Some(&answer));
+    // The worker has seen the new token: no start of an earlier epoch is under way to it any more.
+    assert_eq!(w.part.jobs().map(Job::pending).sum::<u32>(), 1);
+}
