--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -195,10 +195,10 @@
         let (now, wall) = (self.now(), self.wall());
         let mut part = Part::new(Params::new(&self.settings), epoch, now);
         part.set_types(&self.types);
-        for (name, h) in &self.mirror.hires {
+        for h in self.mirror.hires.values() {
             let h = &h.record;
             for machine in h.machines.iter().flatten() {
-                part.add_machine(machine, name, (&h.machine_type, &h.zone, h.spot), false);
+                part.add_machine(machine, (&h.machine_type, &h.zone, h.spot), false);
             }
         }
         for (id, v) in &self.mirror.live {
--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -181,18 +181,18 @@
             let txn = store::hire_txn(&guard(store::epoch_key(), epoch), &name, 0, &record);
             if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
                 tracing::info!(%machine, "unexpected machine taken in");
-                self.add_machines(&name, &record);
+                self.add_machines(&record);
             }
         }
     }
 
-    pub(super) fn add_machines(&self, hire: &str, r: &HireRecord) {
+    pub(super) fn add_machines(&self, r: &HireRecord) {
         let mut core = self.core.borrow_mut();
         let now = core.now();
         let Some(part) = core.part.as_mut() else { return };
         part.at(now);
         for m in r.machines.iter().flatten() {
-            part.add_machine(m, hire, (&r.machine_type, &r.zone, r.spot), true);
+            part.add_machine(m, (&r.machine_type, &r.zone, r.spot), true);
         }
     }
 
@@ -288,7 +288,7 @@
         record.machines = Some(got);
         match self.txn(&store::hire_txn(&guard(store::epoch_key(), epoch), name, version, &record)).await {
             Ok(Decided::Applied(_)) => {
-                self.add_machines(name, &record);
+                self.add_machines(&record);
                 true
             }
             _ => false,
--- a/src/part/machines.rs
+++ b/src/part/machines.rs
@@ -10,7 +10,7 @@
 impl Part {
     /// Takes in a machine that the store records. `surely`: it was rented just now. One of an earlier epoch may have been
     /// released or taken meanwhile; an heir once counted on the room of such machines for most of a minute.
-    pub fn add_machine(&mut self, name: &str, hire: &str, of: (&str, &str, bool), surely: bool) {
+    pub fn add_machine(&mut self, name: &str, of: (&str, &str, bool), surely: bool) {
         if self.knows(name) || !plain(name) {
             return;
         }
@@ -19,7 +19,6 @@
         let zone = self.zones.add(of.1);
         let machine = Machine {
             name: name.to_string(),
-            hire: hire.to_string(),
             state: MachineState::Waiting,
             kind,
             zone,
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -295,8 +295,6 @@
 pub struct Machine {
     /// Name.
     pub name: String,
-    /// Its hire.
-    pub hire: String,
     /// State.
     pub state: MachineState,
     /// Type.
