--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -967,3 +967,20 @@
     // The worker has seen the new token: no start of an earlier epoch is under way to it any more.
     assert_eq!(w.part.jobs().map(Job::pending).sum::<u32>(), 1);
 }
+
+#[test]
+fn after_an_epoch_without_a_log_nothing_is_placed_until_its_leases_have_run_out() {
+    let mut w = World::new();
+    w.machine("n-9", "a");
+    w.job(spec("wk-1", 1), 50);
+    w.part.outwait();
+    for (after, placed) in [(0, 0), (2000, 1)] {
+        w.part.at(1000 + LEASE + RIDE + after);
+        let mut got = starts(&w.tell("n-9", &[]));
+        w.tick(1000 + LEASE + RIDE + after);
+        if got.is_empty() {
+            got = starts(&w.tell("n-9", &[]));
+        }
+        assert_eq!(got.len(), placed);
+    }
+}
