Silence judged by zone and by short times; a leader that hears no worker gives up at once

Silence reached the machines one after the other, so that 'most are silent' was not yet true while the first were given up; when nothing was heard any more, it went on with hired ones. Now most is judged by a time in which every machine reports; zones of which most is quiet are not released nor, when dark, rented in; a leader that hears nobody for that time gives up, in the ticks, not behind calls to the cloud. apart (simulated): kingston-fleet 0.55 -> 0.86, rabat-fleet 0.52 -> 0.91; zone of rabat-fleet 0.59 -> 0.61 (noise).

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -54,6 +54,8 @@
     /// What to rent for these needs, the most urgent first.
     pub fn wishes(&self, part: &Part, needs: &[Need], now: u64) -> Vec<Wish> {
         let types = part.types();
+        // What would come up in a zone that is cut off is out of reach, and was once counted on all the same.
+        let dark = part.zones_dark();
         let whole = |t: usize| [types[t].cpus, types[t].gpus, types[t].memory_gb].map(|x| (x * 1000.0) as u64);
         // Room left on machines wished for already.
         let mut wished: Vec<(Offer, [u64; 3])> = Vec::new();
@@ -85,7 +87,7 @@
                     for zone in kind.zones.iter().filter_map(|z| part.zone_index(z)) {
                         for spot in [true, false] {
                             let offer = (t, zone, spot);
-                            if !allowed(&offer) || !self.open(&offer, now) {
+                            if !allowed(&offer) || dark.contains(&zone) || !self.open(&offer, now) {
                                 continue;
                             }
                             let hourly = if spot { kind.spot_price } else { kind.price };
@@ -141,8 +143,9 @@
     pub fn ahead(&self, part: &Part, rise_ms: u64, now: u64) -> Vec<Wish> {
         let loads = part.loads();
         let coming = part.coming_up();
+        let dark = part.zones_dark();
         let mut out = Vec::new();
-        for (zone, reserve) in self.reserves(rise_ms) {
+        for (zone, reserve) in self.reserves(rise_ms).into_iter().filter(|(z, _)| !dark.contains(z)) {
             let free: u64 = loads.iter().filter(|l| !l.spot && l.zone == zone).map(|l| l.cpus - l.used).sum();
             let short = reserve.saturating_sub(free + coming.get(&zone).copied().unwrap_or(0));
             let offers = part.types().iter().enumerate().filter(|(t, kind)| {
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -92,10 +92,23 @@
         None
     }
 
+    /// Gives leadership up, so that a node that hears the workers may take it at once.
+    fn give_up(&self) {
+        let mut core = self.core.borrow_mut();
+        if let Some((_, _, hold)) = core.reign() {
+            let store = self.store.clone();
+            actix::spawn(async move { store.close_hold(hold).await });
+        }
+        // Long enough for another to claim; then this one may try again, if nobody has.
+        core.no_campaign_until = core.now() + (core.settings.operator.hold_s * 2000.0) as u64;
+        core.turn(Turn::Ended);
+    }
+
     pub(super) async fn ticks(self) {
-        let most = {
+        let (most, alone) = {
             let core = self.core.borrow();
-            (core.settings.platform.deployment.machine_limits.max_connections / 16).clamp(8, 64)
+            let connections = core.settings.platform.deployment.machine_limits.max_connections;
+            ((connections / 16).clamp(8, 64), core.settings.platform.peers.is_empty())
         };
         let flying = Rc::new(Cell::new(0usize));
         let (mut tick_at, mut stir_at, mut place_at) = (0, 0, 0);
@@ -118,6 +131,12 @@
                 if now >= stir_at {
                     stir_at = now + 5 * TICK_MS;
                     part.stir();
+                    if !alone && part.deaf() {
+                        tracing::info!("hears no worker, gives leadership up");
+                        drop(core);
+                        self.give_up();
+                        continue;
+                    }
                 }
                 if now >= place_at {
                     let from = begun.elapsed();
--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -79,25 +79,12 @@
         // Long enough for two probes; a machine silent for longer rarely comes back within its lease.
         let silent_ms = ((2.0 * w.report_s + 2.0).max(0.4 * w.lease_s) * 1000.0) as u64;
         let idle_ms = (core.settings.operator.idle_return_s * 1000.0) as u64;
-        let lost_ms = (2000.0 * w.lease_s) as u64;
+        // Dead machines are listed as failed; what is silent for so long though its whole zone is, is not worth its price.
+        let lost_ms = (4000.0 * w.lease_s) as u64;
         let Some(part) = core.part.as_mut() else { return Vec::new() };
         part.at(now);
-        let (silent, all) = part.silent(silent_ms);
-        // When most are silent at once, it is more likely this node that cannot hear; but not for ever.
-        let silent = if silent.len() * 2 <= all || all <= 2 { silent } else { part.silent(lost_ms).0 };
-        if silent.len() < all || all <= 2 || part.reporting(silent_ms) > 0 {
-            for i in silent {
-                part.enter(i, MachineState::Releasing, "silent");
-            }
-        } else if !core.settings.platform.peers.is_empty() {
-            tracing::info!(all, "hears no worker, gives leadership up");
-            if let Some((_, _, hold)) = core.reign() {
-                let store = self.store.clone();
-                actix::spawn(async move { store.close_hold(hold).await });
-            }
-            core.no_campaign_until = now + 15_000;
-            core.turn(Turn::Ended);
-            return Vec::new();
+        for i in part.silent(silent_ms, lost_ms) {
+            part.enter(i, MachineState::Releasing, "silent");
         }
         let needs = part.look_ahead(true);
         let wanted: u32 = needs.iter().map(|n| n.tasks).sum();
--- a/src/part/machines.rs
+++ b/src/part/machines.rs
@@ -6,6 +6,10 @@
 
 /// A margin beside the drift of clocks, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 500;
+/// Beside the time in which every machine reports, before a node takes itself for cut off.
+const DEAF_MARGIN_MS: u64 = 500;
+/// Between two ticks of a node that has its processor.
+const TICK_GAP_MS: u64 = 1000;
 
 impl Part {
     /// Takes in a machine that the store records. `surely`: it was rented just now. One of an earlier epoch may have been
@@ -129,18 +133,67 @@
         self.now > m.last_answer + self.p.lease_ms + self.p.lease_ms / 500 + LEASE_MARGIN_MS
     }
 
-    /// Machines that have not shown the current token for a time, and how many there are to hear from. Those being
-    /// released already are left out.
-    pub fn silent(&self, for_ms: u64) -> (Vec<usize>, usize) {
-        let expected = || self.machines().filter(|(_, m)| m.contacted && m.state != MachineState::Releasing);
-        let quiet = expected().filter(|(_, m)| self.now > m.last_heard + for_ms);
-        (quiet.map(|(i, _)| i).collect(), expected().count())
+    /// Machines that should be heard from and have not shown the current token for `silent_ms`, less those of zones that
+    /// are out: a zone of which most is quiet is cut off rather than dead, and what is up there will be of use as soon as it
+    /// is back. Those are given up after `lost_ms` only.
+    ///
+    /// Whether most is quiet is asked of a shorter time, in which a machine surely reports: a leader that heard nobody any
+    /// more once released hundreds of healthy machines in the seconds in which the silence had reached some of them and
+    /// not yet the others.
+    pub fn silent(&self, silent_ms: u64, lost_ms: u64) -> Vec<usize> {
+        let out = self.zones_out();
+        let after = |m: &Machine| if out.contains(&m.zone) { lost_ms } else { silent_ms };
+        let quiet = self.expected().filter(|(_, m)| self.now > m.last_heard + after(m));
+        quiet.map(|(i, _)| i).collect()
     }
 
-    /// How many of the machines that should be heard from report, under whichever token: if none does, it is this node
-    /// that is cut off.
-    pub fn reporting(&self, for_ms: u64) -> usize {
-        self.machines().filter(|(_, m)| m.contacted && m.reported_at.is_some_and(|at| self.now <= at + for_ms)).count()
+    /// Machines that should be heard from. Those being released already are left out.
+    fn expected(&self) -> impl Iterator<Item = (usize, &Machine)> {
+        self.machines().filter(|(_, m)| m.contacted && m.state != MachineState::Releasing)
+    }
+
+    /// The time in which a machine surely reports.
+    fn quiet_ms(&self) -> u64 {
+        self.p.report_ms * 3 / 2
+    }
+
+    /// How many of each zone's machines are quiet, and how many there are.
+    fn quiet_by_zone(&self) -> HashMap<usize, (usize, usize)> {
+        let mut zones: HashMap<usize, (usize, usize)> = HashMap::new();
+        for (_, m) in self.expected() {
+            let (quiet, all) = zones.entry(m.zone).or_default();
+            *quiet += (self.now > m.last_heard + self.quiet_ms()) as usize;
+            *all += 1;
+        }
+        zones
+    }
+
+    /// Zones of which most machines are quiet.
+    fn zones_out(&self) -> HashSet<usize> {
+        let out = self.quiet_by_zone().into_iter().filter(|(_, (quiet, all))| *all > 2 && quiet * 2 > *all);
+        out.map(|(z, _)| z).collect()
+    }
+
+    /// Zones of which nothing is heard: whatever came up there would be out of reach.
+    pub fn zones_dark(&self) -> HashSet<usize> {
+        let dark = self.quiet_by_zone().into_iter().filter(|(_, (quiet, all))| *all > 2 && quiet == all);
+        dark.map(|(z, _)| z).collect()
+    }
+
+    /// Whether none of the machines that should be heard from has reported of late, under whichever token: then it is this
+    /// node that is cut off.
+    pub fn deaf(&self) -> bool {
+        let heard = |m: &Machine| m.reported_at.is_some_and(|at| self.now <= at + self.quiet_ms() + DEAF_MARGIN_MS);
+        let long = |m: &Machine| self.now > m.since + 2 * self.quiet_ms() + DEAF_MARGIN_MS;
+        self.expected().filter(|(_, m)| long(m)).count() > 2 && !self.expected().any(|(_, m)| heard(m))
+    }
+
+    /// This node stood still for a time, or had no processor: what it has not heard meanwhile says nothing of the machines.
+    pub fn stood_still(&mut self, for_ms: u64) {
+        for m in self.machines.iter_mut().flatten() {
+            m.last_heard += for_ms;
+            m.reported_at = m.reported_at.map(|at| at + for_ms);
+        }
     }
 
     /// Starts and stops to be sent straight to workers, at most one message a machine at a time.
@@ -224,6 +277,11 @@
 
     /// What time alone brings: leases that have surely run out, notices, machines that came back to nothing.
     pub fn tick(&mut self, now: u64) {
+        let gap = now.saturating_sub(self.ticked);
+        if self.ticked > 0 && gap > TICK_GAP_MS {
+            self.stood_still(gap - TICK_GAP_MS);
+        }
+        self.ticked = now;
         self.at(now);
         for i in 0..self.machines.len() {
             let Some(m) = self.machines[i].as_ref() else { continue };
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -407,6 +407,8 @@
     holders: HashMap<usize, BTreeSet<usize>>,
     /// Nothing is placed before.
     place_from: u64,
+    /// The last tick.
+    ticked: u64,
     /// Jobs, the oldest submission first.
     by_age: Vec<usize>,
     /// Finished ranges that are not stored yet, and since when.
@@ -441,6 +443,7 @@
             outbox: BTreeSet::new(),
             holders: HashMap::new(),
             place_from: 0,
+            ticked: 0,
             by_age: Vec::new(),
             dirty: BTreeMap::new(),
             fetch_rate: HashMap::new(),
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -158,6 +158,14 @@
         self.tell_token(machine, self.token(), tasks)
     }
 
+    /// Lets time pass tick by tick, as a node that has its processor does.
+    fn pass_to(&mut self, now: u64) {
+        while self.part.now + 500 < now {
+            self.part.tick(self.part.now + 500);
+        }
+        self.part.tick(now);
+    }
+
     fn tick(&mut self, now: u64) {
         self.part.tick(now);
         self.part.stir();
@@ -571,9 +579,9 @@
     assert_eq!(probe.iter().map(|d| d.machine.as_str()).collect::<Vec<_>>(), vec!["n-2"]);
     let sent = w.part.direct(9);
     w.part.direct_answer(&sent[0], None);
-    w.part.tick(9000);
+    w.pass_to(9000);
     // It was once left out, being no longer current, and its tasks waited for the lease.
-    assert_eq!(w.part.silent(5000).0.len(), 2);
+    assert_eq!(w.part.silent(5000, 9000).len(), 2);
     // An unanswered probe gave no orders: the token stays.
     w.part.direct_answer(&probe[0], None);
     assert_eq!(w.part.machines().find(|(_, m)| m.name == "n-2").map(|(_, m)| m.counter), Some(0));
@@ -645,10 +653,9 @@
         assert!(w.part.direct(9).is_empty());
     }
     // Whatever it reports under the old token, it is not heard.
-    assert_eq!(w.part.silent(5000).0.len(), 1);
-    assert!(w.part.reporting(5000) == 1);
+    assert_eq!(w.part.silent(5000, 9000).len(), 1);
     // It holds nothing for ever: another machine gets the task as soon as the release is confirmed.
-    let i = w.part.silent(5000).0[0];
+    let i = w.part.silent(5000, 9000)[0];
     w.part.enter(i, MachineState::Releasing, "silent");
     w.machine("n-2", "a");
     w.part.machine_gone("n-1");
@@ -656,6 +663,65 @@
     assert_eq!(starts(&w.tell("n-2", &[])).len(), 1);
 }
 
+#[test]
+fn silence_that_spreads_over_a_zone_is_a_cut_and_not_many_deaths() {
+    let mut w = World::new();
+    for n in 0..8 {
+        w.machine(&format!("a-{n}"), "a");
+        w.machine(&format!("b-{n}"), "b");
+    }
+    let up: Vec<String> = (0..8).map(|n| format!("b-{n}")).collect();
+    let tell_some = |w: &mut World, names: &[String]| names.iter().for_each(|n| drop(w.tell(n, &[])));
+    // Reports come one after the other, so that those of a cut zone reach the time of a silence one after the other too.
+    for n in 0..8 {
+        w.pass_to(1500 + n * 180);
+        tell_some(&mut w, &[format!("a-{n}")]);
+        tell_some(&mut w, &up);
+    }
+    for s in 4..8 {
+        w.pass_to(s * 1000);
+        tell_some(&mut w, &up);
+        assert!(w.part.silent(5000, 40_000).is_empty(), "at {s} s the first ones were given up once");
+    }
+    let a = w.part.zone_index("a").unwrap();
+    assert_eq!(w.part.zones_dark(), HashSet::from([a]));
+    assert!(!w.part.deaf());
+    // One that falls silent in the other zone is given up at once, as ever.
+    w.pass_to(8000);
+    tell_some(&mut w, &up[1..]);
+    for s in 9..14 {
+        w.pass_to(s * 1000);
+        tell_some(&mut w, &up[1..]);
+    }
+    assert_eq!(w.part.silent(5000, 40_000).len(), 1);
+    // A zone that stays away is not paid for for ever.
+    for s in 14..45 {
+        w.pass_to(s * 1000);
+        tell_some(&mut w, &up[1..]);
+    }
+    assert_eq!(w.part.silent(5000, 40_000).len(), 9);
+}
+
+#[test]
+fn a_node_that_hears_nobody_takes_itself_for_cut_off_but_not_after_it_stood_still() {
+    let mut w = World::new();
+    (0..4).for_each(|n| w.machine(&format!("n-{n}"), "a"));
+    let tell_all = |w: &mut World| (0..4).for_each(|n| drop(w.tell(&format!("n-{n}"), &[])));
+    for s in 2..8 {
+        w.pass_to(s * 1000);
+        tell_all(&mut w);
+    }
+    // It did not run for most of a minute: the reports of that time wait at its door.
+    w.part.tick(50_000);
+    assert!(!w.part.deaf() && w.part.silent(5000, 40_000).is_empty());
+    tell_all(&mut w);
+    w.pass_to(52_000);
+    assert!(!w.part.deaf());
+    // Nobody within the time in which everybody reports: given up before a single lease has run out.
+    w.pass_to(53_000);
+    assert!(w.part.deaf() && w.part.silent(5000, 40_000).is_empty());
+}
+
 #[test]
 fn a_session_that_ends_though_it_was_answered_raises_the_token() {
     let mut w = World::new();
@@ -717,11 +783,11 @@
     assert!(w.answer(&copy).is_empty());
     assert!(starts(&w.tell("n-9", &[])).is_empty());
     // It also says nothing of whether the machine is alive.
-    w.part.tick(8000);
+    w.pass_to(8000);
     let copy = w.report("n-1", 4 << TOKEN_BITS, &[]);
     w.answer(&copy);
     let n1 = w.part.machines().find(|(_, m)| m.name == "n-1").map(|(i, m)| (i, m.current)).unwrap();
-    assert!(!n1.1 && w.part.silent(5000).0.contains(&n1.0));
+    assert!(!n1.1 && w.part.silent(5000, 9000).contains(&n1.0));
 }
 
 #[test]
@@ -934,8 +1000,8 @@
     assert!(w.part.look_ahead(false).is_empty());
     // Listed as running, it is missed if it does not report.
     w.part.listed(i, true, "1.2.3.4:9");
-    w.part.tick(9000);
-    assert_eq!(w.part.silent(5000).0, vec![i]);
+    w.pass_to(9000);
+    assert_eq!(w.part.silent(5000, 9000), vec![i]);
     assert_eq!(w.part.probes(9).len(), 1);
 }
 
