--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -25,8 +25,19 @@
 #[derive(Default)]
 pub struct Fleet {
     refused: HashMap<Offer, Backoff>,
-    /// Demand of late: time, all CPUs wanted, CPUs of services by zone.
-    demand: VecDeque<(u64, u64, HashMap<usize, u64>)>,
+    /// Demand of late.
+    demand: VecDeque<Demand>,
+}
+
+/// Demand at a moment, in CPUs.
+struct Demand {
+    at: u64,
+    /// Of everything.
+    all: u64,
+    /// Of the services of all unfinished jobs.
+    services: u64,
+    /// What services hold in each zone.
+    placed: HashMap<usize, u64>,
 }
 
 /// Room kept above the peak of late.
@@ -117,26 +128,32 @@
     }
 
     /// How much of ordinary machines' CPUs should be free in each zone for replicas to come: the largest rise of late
-    /// within the time that a machine takes to come up.
+    /// within the time that a machine takes to come up, divided as the replicas of late are.
+    ///
+    /// What counts is what jobs ask for, not what machines show: after a change of leader, or when a zone was back, the
+    /// replicas that showed again were once taken for new ones, and room for as many more was rented.
     fn reserves(&self, rise_ms: u64) -> HashMap<usize, u64> {
-        let mut out: HashMap<usize, u64> = HashMap::new();
-        let mut lows: HashMap<usize, VecDeque<(u64, u64)>> = HashMap::new();
-        for (at, _, services) in &self.demand {
-            for (zone, now) in services {
-                let low = lows.entry(*zone).or_default();
-                while low.back().is_some_and(|(_, v)| v >= now) {
-                    low.pop_back();
-                }
-                low.push_back((*at, *now));
-                while low.front().is_some_and(|(t, _)| t + rise_ms < *at) {
-                    low.pop_front();
-                }
-                let rise = now - low.front().map_or(*now, |(_, v)| *v);
-                let most = out.entry(*zone).or_default();
-                *most = rise.max(*most);
+        let mut rise = 0;
+        let mut lows: VecDeque<(u64, u64)> = VecDeque::new();
+        let mut shares: HashMap<usize, u64> = HashMap::new();
+        for d in &self.demand {
+            while lows.back().is_some_and(|(_, v)| *v >= d.services) {
+                lows.pop_back();
+            }
+            lows.push_back((d.at, d.services));
+            while lows.front().is_some_and(|(t, _)| t + rise_ms < d.at) {
+                lows.pop_front();
+            }
+            rise = rise.max(d.services - lows.front().map_or(d.services, |(_, v)| *v));
+            // The most of late, so that a zone that is cut off keeps its share.
+            for (zone, n) in &d.placed {
+                let most = shares.entry(*zone).or_default();
+                *most = (*most).max(*n);
             }
         }
-        out
+        let sum = shares.values().sum::<u64>().max(1);
+        shares.values_mut().for_each(|n| *n = (rise as u128 * *n as u128 / sum as u128) as u64);
+        shares
     }
 
     /// Rents ahead of the replicas to come, where too little is free for them.
@@ -165,10 +182,10 @@
     pub fn surplus(&mut self, part: &mut Part, needs: &[Need], window_ms: u64, rise_ms: u64, now: u64) {
         let loads = part.loads();
         let wanted = needs.iter().map(|n| n.need[0] * n.tasks as u64).sum::<u64>();
-        let mut services: HashMap<usize, u64> = HashMap::new();
-        loads.iter().for_each(|l| *services.entry(l.zone).or_default() += l.services);
-        self.demand.push_back((now, wanted + loads.iter().map(|l| l.used).sum::<u64>(), services));
-        while self.demand.front().is_some_and(|(at, ..)| now > at + window_ms) {
+        let (services, placed) = part.service_demand();
+        let all = wanted + loads.iter().map(|l| l.used).sum::<u64>();
+        self.demand.push_back(Demand { at: now, all, services, placed });
+        while self.demand.front().is_some_and(|d| now > d.at + window_ms) {
             self.demand.pop_front();
         }
         if !needs.is_empty() {
@@ -177,12 +194,19 @@
         }
         part.move_replica();
         let target = |x: u64| (x as f64 * HEADROOM) as u64;
-        let peak = target(self.demand.iter().map(|d| d.1).max().unwrap_or(0));
-        let zone_peak = |z: usize| target(self.demand.iter().filter_map(|d| d.2.get(&z).copied()).max().unwrap_or(0));
+        let peak = target(self.demand.iter().map(|d| d.all).max().unwrap_or(0));
         let all: u64 = loads.iter().map(|l| l.cpus).sum();
         let reserves = self.reserves(rise_ms);
-        let free = |z: usize| loads.iter().filter(|l| !l.spot && l.zone == z).map(|l| l.cpus - l.used).sum::<u64>();
-        let steady = |z: usize| loads.iter().filter(|l| !l.spot && l.zone == z).map(|l| l.cpus).sum::<u64>();
+        let (mut zone_peak, mut free, mut steady) = (HashMap::new(), HashMap::new(), HashMap::new());
+        for (zone, n) in self.demand.iter().flat_map(|d| &d.placed) {
+            let most = zone_peak.entry(*zone).or_insert(0);
+            *most = target(*n).max(*most);
+        }
+        for l in loads.iter().filter(|l| !l.spot) {
+            *free.entry(l.zone).or_insert(0) += l.cpus - l.used;
+            *steady.entry(l.zone).or_insert(0) += l.cpus;
+        }
+        let of = |by: &HashMap<usize, u64>, zone: usize| by.get(&zone).copied().unwrap_or(0);
         let types = part.types();
         let idle_price = |l: &Load| {
             let t = &types[l.kind];
@@ -192,8 +216,8 @@
             now > l.since + window_ms
                 && l.services * 4 <= l.cpus
                 && all - l.cpus >= peak
-                && (l.spot || steady(l.zone) - l.cpus >= zone_peak(l.zone))
-                && (l.spot || free(l.zone) >= reserves.get(&l.zone).copied().unwrap_or(0) + l.cpus)
+                && (l.spot || of(&steady, l.zone) - l.cpus >= of(&zone_peak, l.zone))
+                && (l.spot || of(&free, l.zone) >= of(&reserves, l.zone) + l.cpus)
         };
         let go = loads.iter().filter(may_go).max_by(|a, b| idle_price(a).total_cmp(&idle_price(b))).map(|l| l.machine);
         if let Some(i) = go {
--- a/src/part/look.rs
+++ b/src/part/look.rs
@@ -317,6 +317,19 @@
         won
     }
 
+    /// CPUs that the services of all unfinished jobs ask for, and those that they hold in each zone.
+    pub fn service_demand(&self) -> (u64, HashMap<usize, u64>) {
+        let mut all = 0;
+        let mut placed: HashMap<usize, u64> = HashMap::new();
+        for job in self.jobs().filter(|j| j.record.spec.kind == Kind::Service && !j.ended) {
+            all += job.need[0] * job.tasks() as u64;
+            for (zone, n) in &job.zone_use {
+                *placed.entry(*zone).or_default() += job.need[0] * *n as u64;
+            }
+        }
+        (all, placed)
+    }
+
     /// CPUs of ordinary machines that are coming up, by zone.
     pub fn coming_up(&self) -> HashMap<usize, u64> {
         let mut out = HashMap::new();
