--- a/src/part/machines.rs
+++ b/src/part/machines.rs
@@ -140,11 +140,18 @@
     /// Whether most is quiet is asked of a shorter time, in which a machine surely reports: a leader that heard nobody any
     /// more once released hundreds of healthy machines in the seconds in which the silence had reached some of them and
     /// not yet the others.
-    pub fn silent(&self, silent_ms: u64, lost_ms: u64) -> Vec<usize> {
-        let out = self.zones_out();
-        let after = |m: &Machine| if out.contains(&m.zone) { lost_ms } else { silent_ms };
-        let quiet = self.expected().filter(|(_, m)| self.now > m.last_heard + after(m));
-        quiet.map(|(i, _)| i).collect()
+    ///
+    /// Those of a zone that is back have the time of a silence from then on: those not heard in its first moments were once
+    /// given up at once.
+    pub fn silent(&mut self, silent_ms: u64, lost_ms: u64) -> Vec<usize> {
+        for zone in self.zones_out() {
+            self.out_at.insert(zone, self.now);
+        }
+        let late = |m: &Machine| {
+            let out_at = self.out_at.get(&m.zone).copied().unwrap_or(0);
+            self.now > m.last_heard + silent_ms && (self.now > out_at + silent_ms || self.now > m.last_heard + lost_ms)
+        };
+        self.expected().filter(|(_, m)| late(m)).map(|(i, _)| i).collect()
     }
 
     /// Machines that should be heard from. Those being released already are left out.
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -409,6 +409,8 @@
     place_from: u64,
     /// The last tick.
     ticked: u64,
+    /// When most of a zone was last quiet.
+    out_at: HashMap<usize, u64>,
     /// Jobs, the oldest submission first.
     by_age: Vec<usize>,
     /// Finished ranges that are not stored yet, and since when.
@@ -444,6 +446,7 @@
             holders: HashMap::new(),
             place_from: 0,
             ticked: 0,
+            out_at: HashMap::new(),
             by_age: Vec::new(),
             dirty: BTreeMap::new(),
             fetch_rate: HashMap::new(),
