No claim over a living leader; connections shed; a node apart from store and peers is not healthy

Whether anybody leads is now asked of the mirror that gives the guards. - Above three quarters of the connections, workers' are closed after their answer: 1,884 machines against 2,416 sockets.

--- a/src/api.rs
+++ b/src/api.rs
@@ -5,8 +5,10 @@
 use crate::peer;
 use crate::protocol::{self as wire, decode, encode, JobSpec, Report, BODY_LIMIT};
 use actix::Addr;
+use actix_web::http::ConnectionType;
 use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,6 +18,36 @@
     node: Addr<Node>,
     internal: SocketAddr,
     limiter: Arc<Mutex<Limiter>>,
+    connections: Connections,
+}
+
+/// Open connections, and how many may be kept.
+#[derive(Clone)]
+struct Connections {
+    open: Arc<AtomicUsize>,
+    most: usize,
+}
+
+/// A connection, counted until it closes.
+struct Connection(Arc<AtomicUsize>);
+
+impl Connections {
+    fn enter(&self) -> Connection {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Connection(self.open.clone())
+    }
+
+    /// Whether a worker's connection may be kept after its answer. Workers keep theirs between reports; where there are
+    /// more of them than sockets, those kept would leave none for the others, nor for users, checks and peers.
+    fn keep(&self) -> bool {
+        self.open.load(Ordering::Relaxed) * 4 <= self.most * 3
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 fn reply(status: u16, body: Vec<u8>) -> HttpResponse {
@@ -38,7 +70,12 @@
         Answer::Job(status, view) => reply(status, encode(&view)),
         Answer::Unknown => plain(404, "no such job"),
         Answer::Never(why) => plain(422, why),
-        Answer::Later(s) => later(503, "try again", s),
+        Answer::Later(s) => {
+            // On its next connection the user may find a node that can: one that had lost the store kept its users.
+            let mut r = later(503, "try again", s);
+            r.head_mut().set_connection_type(ConnectionType::Close);
+            r
+        }
     }
 }
 
@@ -92,11 +129,16 @@
         tracing::info!(bytes = body.len(), "report not understood");
         return plain(400, "malformed");
     };
-    match door.node.send(WorkerReport(report)).await {
+    let mut r = match door.node.send(WorkerReport(report)).await {
         Ok(WorkerAnswer::Reply(r)) => reply(200, encode(&r)),
         Ok(WorkerAnswer::Elsewhere(report_to)) => reply(421, encode(&wire::Redirect { report_to })),
         _ => plain(503, "no right to act"),
+    };
+    // A worker that is not served here goes on to another node.
+    if r.status() != 200 || !door.connections.keep() {
+        r.head_mut().set_connection_type(ConnectionType::Close);
     }
+    r
 }
 
 async fn view(door: web::Data<Door>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
@@ -113,7 +155,9 @@
 
 /// Serves both addresses until the process ends.
 pub async fn serve(node: Addr<Node>, api: SocketAddr, internal: SocketAddr, connections: usize) -> std::io::Result<()> {
-    let door = Door { node, internal, limiter: Arc::new(Mutex::new(Limiter::default())) };
+    let open = Connections { open: Arc::default(), most: connections };
+    let counted = open.clone();
+    let door = Door { node, internal, limiter: Arc::new(Mutex::new(Limiter::default())), connections: open };
     let server = HttpServer::new(move || {
         App::new()
             .app_data(web::Data::new(door.clone()))
@@ -131,6 +175,9 @@
             )
             .default_service(web::to(|| async { plain(404, "no such path") }))
     })
+    .on_connect(move |_, data| {
+        data.insert(counted.enter());
+    })
     .workers(1)
     .max_connections(connections)
     .keep_alive(Duration::from_secs(75))
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -61,20 +61,16 @@
 
     /// Claims leadership under a hold: the epoch's number and version.
     pub(super) async fn claim(&self, hold: u64) -> Option<(u64, u64, u64)> {
-        let (me, number, version, leader) = {
+        let Some((txn, me, record)) = ({
             let mut core = self.core.borrow_mut();
             let core = &mut *core;
-            let epoch = core.mirror.epoch.as_ref();
-            core.unlogged = epoch.is_some_and(|e| !e.record.logs_starts);
-            let leader = core.mirror.leader.as_ref().map_or(0, |l| l.version);
-            (core.me.clone(), epoch.map_or(0, |e| e.record.number) + 1, epoch.map_or(0, |e| e.version), leader)
-        };
-        let members = vec![me.clone()];
-        let record = store::EpochRecord { number, leader: me.clone(), members, logs_starts: true };
-        let txn = Txn {
-            guards: vec![guard(store::leader_key(), leader), guard(store::epoch_key(), version)],
-            apply: vec![put(store::leader_key(), &me, Some(hold)), put(store::epoch_key(), &record, None)],
+            core.unlogged = core.mirror.epoch.as_ref().is_some_and(|e| !e.record.logs_starts);
+            store::claim_txn(&core.mirror, &core.me, hold).map(|(txn, record)| (txn, core.me.clone(), record))
+        }) else {
+            self.store.close_hold(hold).await;
+            return None;
         };
+        let number = record.number;
         match self.txn(&txn).await {
             Ok(Decided::Applied(revision)) => return Some((number, revision, hold)),
             Err(StoreError::Unknown) => {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -78,6 +78,11 @@
 /// Most machines in no hire that are looked at at a time.
 const STRANGERS: usize = 1000;
 
+/// A node that reaches no other for so long, nor is refused by one, is apart.
+const APART_MS: u64 = 5000;
+/// A connection that fails sooner was refused.
+const REFUSED_MS: u128 = 500;
+
 /// A machine in no hire.
 struct Stranger {
     machine_type: String,
@@ -100,6 +105,8 @@
     types: Vec<MachineType>,
     counts: HashMap<String, (u32, u32)>,
     peers_ok: HashMap<String, (u64, bool)>,
+    /// When a peer last answered or refused a connection: something of the others was reached.
+    peers_at: u64,
     newest_epoch: u64,
     state_ok_at: u64,
     no_campaign_until: u64,
@@ -135,10 +142,8 @@
         }
     }
 
-    /// Whether leadership may be claimed: nobody leads, or this node's own last process. That one's hold need not be waited
-    /// for: what it may have started is in the log, and what it wrote last carries its epoch.
     fn free_to_claim(&self) -> bool {
-        self.mirror.leader.as_ref().is_none_or(|l| l.record.ended_before(&self.me))
+        self.mirror.free_to_claim(&self.me)
     }
 
     fn turn(&mut self, turn: Turn) {
@@ -251,11 +256,14 @@
         self.peers_ok.insert(v.node, (now, v.state_ok));
     }
 
-    /// Whether this node should get users: it is loaded, and if the state service refuses it, then not it alone.
+    /// Whether this node should get users: it is loaded, and if the state service does not answer it, then not it alone.
+    /// That it is alone is known from another to whom it does answer, or believed where nothing of the others is reached
+    /// either: a node that had lost both kept its users, and with its few connections was given more.
     fn healthy(&self) -> bool {
         let now = self.now();
         let other_ok = self.peers_ok.values().any(|(at, ok)| *ok && now < at + 3000);
-        self.mirror.loaded && !self.types.is_empty() && (self.state_ok() || !other_ok)
+        let apart = !self.settings.platform.peers.is_empty() && now > self.peers_at + APART_MS;
+        self.mirror.loaded && !self.types.is_empty() && (self.state_ok() || !(other_ok || apart))
     }
 
     fn report(&mut self, r: &Report) -> WorkerAnswer {
@@ -470,8 +478,14 @@
                 let me = self.clone();
                 let (addr, own) = (p.peer_addr, View { counts: None, ..self.core.borrow().own_view() });
                 actix::spawn(async move {
-                    if let Some(v) = peer::ask(&me.http, addr, &own).await {
-                        me.core.borrow_mut().take_view(v);
+                    let from = Instant::now();
+                    let answer = peer::ask(&me.http, addr, &own).await;
+                    let mut core = me.core.borrow_mut();
+                    if answer.is_some() || from.elapsed().as_millis() < REFUSED_MS {
+                        core.peers_at = core.now();
+                    }
+                    if let Some(v) = answer {
+                        core.take_view(v);
                     }
                 });
             }
@@ -507,6 +521,7 @@
             types: Vec::new(),
             counts: HashMap::new(),
             peers_ok: HashMap::new(),
+            peers_at: 0,
             newest_epoch: 0,
             state_ok_at: 0,
             no_campaign_until: 0,
@@ -598,7 +613,8 @@
 /// Runs a controller until its process ends.
 pub fn run(settings: Settings) -> std::io::Result<()> {
     let platform = settings.platform.clone();
-    let connections = (platform.deployment.machine_limits.max_connections * 7 / 10).max(8);
+    // The rest is for calls to the store, the cloud, peers and workers, and for what is being closed.
+    let connections = (platform.deployment.machine_limits.max_connections * 17 / 20).max(8);
     actix::System::new().block_on(async move {
         let node = Node::new(settings).start();
         crate::api::serve(node, platform.api_addr, platform.internal_addr, connections).await
--- a/src/store.rs
+++ b/src/store.rs
@@ -300,6 +300,12 @@
         seen
     }
 
+    /// Whether leadership may be claimed: nobody leads, or a node's own last process. That one's hold need not be waited
+    /// for: what it may have started is in the log, and what it wrote last carries its epoch.
+    pub fn free_to_claim(&self, me: &LeaderRecord) -> bool {
+        self.leader.as_ref().is_none_or(|l| l.record.ended_before(me))
+    }
+
     /// Remembers a final state. Final states never change, so the memory may be forgetful but never wrong.
     pub fn remember_over(&mut self, job: &str, record: OverRecord) {
         if self.over.insert(job.to_string(), record).is_none() {
@@ -351,6 +357,23 @@
     Change::Put { put: key, value: Value::serialized(record).unwrap_or(Value::Null), hold }
 }
 
+/// Claims the next epoch under a hold; nothing if somebody leads. That is asked of the same mirror as the guards are: a
+/// node whose mirror had meanwhile shown it another's claim once took the leadership from it, with its hold still running.
+pub fn claim_txn(mirror: &Mirror, me: &LeaderRecord, hold: u64) -> Option<(Txn, EpochRecord)> {
+    if !mirror.free_to_claim(me) {
+        return None;
+    }
+    let epoch = mirror.epoch.as_ref();
+    let number = epoch.map_or(0, |e| e.record.number) + 1;
+    let record = EpochRecord { number, leader: me.clone(), members: vec![me.clone()], logs_starts: true };
+    let leader = mirror.leader.as_ref().map_or(0, |l| l.version);
+    let txn = Txn {
+        guards: vec![guard(leader_key(), leader), guard(epoch_key(), epoch.map_or(0, |e| e.version))],
+        apply: vec![put(leader_key(), me, Some(hold)), put(epoch_key(), &record, None)],
+    };
+    Some((txn, record))
+}
+
 /// Accepts a job that is neither unfinished nor finished.
 pub fn submit_txn(id: &str, record: &LiveRecord) -> Txn {
     Txn { guards: vec![guard(live_key(id), 0), guard(over_key(id), 0)], apply: vec![put(live_key(id), record, None)] }
@@ -655,14 +678,23 @@
         assert!(!me.ended_before(&me) && !of("b", 1).ended_before(&me));
         // Its claim: the predecessor's late one and a repeated one of its own fail.
         let mut s = Service::default();
-        let claim = |epoch, leader| Txn {
-            guards: vec![guard(leader_key(), leader), guard(epoch_key(), epoch)],
-            apply: vec![put(leader_key(), &1, None), put(epoch_key(), &1, None)],
-        };
-        let old = claim(0, 0);
+        let mut mirror = Mirror::default();
+        let (old, record) = claim_txn(&mirror, &of("a", 1), 1).unwrap();
         assert!(s.run(&old));
-        let mine = claim(s.revision, s.revision);
+        let watched = |record: &EpochRecord, version| {
+            let leader = Value::serialized(&record.leader).unwrap();
+            let epoch = Value::serialized(record).unwrap();
+            vec![
+                Event::Put { put: leader_key(), value: leader, version },
+                Event::Put { put: epoch_key(), value: epoch, version },
+            ]
+        };
+        mirror.apply(s.revision, &watched(&record, s.revision));
+        let (mine, record) = claim_txn(&mirror, &me, 2).unwrap();
         assert!(s.run(&mine) && !s.run(&old) && !s.run(&mine));
+        // Nobody else takes the leadership from it, though the mirror shows which versions to name.
+        mirror.apply(s.revision, &watched(&record, s.revision));
+        assert!(claim_txn(&mirror, &of("b", 1), 3).is_none());
     }
 
     #[test]
