--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -114,8 +114,7 @@
                 return false;
             }
             let Some(part) = core.part.as_ref() else { return false };
-            let leaving = part.machines().filter(|(_, m)| m.state == MachineState::Releasing);
-            leaving.map(|(_, m)| m.name.clone()).take(RELEASE_MOST).collect()
+            part.leaving(RELEASE_MOST)
         };
         if names.is_empty() {
             return false;
--- a/src/part/machines.rs
+++ b/src/part/machines.rs
@@ -233,8 +233,21 @@
         out
     }
 
+    /// How much waits for a machine to be heard or proven gone, the most first: replicas, other tasks, nothing.
+    fn worth(&self, m: &Machine) -> (std::cmp::Reverse<u64>, std::cmp::Reverse<usize>) {
+        (std::cmp::Reverse(m.service_cpus), std::cmp::Reverse(m.tasks.len()))
+    }
+
+    /// Machines to be released, those first of which most waits for the proof that they are gone: when many fall together,
+    /// the calls take them a hundred at a time.
+    pub fn leaving(&self, most: usize) -> Vec<String> {
+        let mut all: Vec<_> = self.machines().filter(|(_, m)| m.state == MachineState::Releasing).collect();
+        all.sort_by_key(|(i, m)| (self.worth(m), *i));
+        all.into_iter().take(most).map(|(_, m)| m.name.clone()).collect()
+    }
+
     /// Empty orders for machines that are overdue or have not shown the current token yet: the answer is a report under
-    /// it, much sooner than the worker's next one. Those that may hold tasks come first.
+    /// it, much sooner than the worker's next one. Those that may hold replicas come first, then those with other tasks.
     pub fn probes(&mut self, most: usize) -> Vec<Direct> {
         let late = self.p.report_ms * 3 / 2 + 500;
         let due = |m: &Machine| {
@@ -242,8 +255,7 @@
                 && (!m.current || self.now > m.last_heard + late)
                 && !(m.direct || m.address.is_empty() || self.now < m.probe_at || m.state == MachineState::Releasing)
         };
-        let mut all: Vec<(bool, usize)> =
-            self.machines().filter(|(_, m)| due(m)).map(|(i, m)| (m.tasks.is_empty(), i)).collect();
+        let mut all: Vec<_> = self.machines().filter(|(_, m)| due(m)).map(|(i, m)| (self.worth(m), i)).collect();
         all.sort_unstable();
         let mut out = Vec::new();
         for (_, i) in all.into_iter().take(most) {
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -203,7 +203,7 @@
     }
 
     /// Remembers which images a machine holds, the latest used last.
-    fn hold_image(&mut self, i: usize, image: usize) {
+    pub(super) fn hold_image(&mut self, i: usize, image: usize) {
         let m = self.machine_mut(i);
         if m.images.back() == Some(&image) {
             return;
--- a/src/part/starts.rs
+++ b/src/part/starts.rs
@@ -196,6 +196,10 @@
                     m.address = read.1.to_string();
                 }
                 lines.push(line);
+                // What was started there has its image there, or on its way. Without this an heir knew no holders but on
+                // machines that it had heard, and when a cut zone was back, all of it fetched anew.
+                let image = self.job(line.job).image;
+                self.hold_image(line.machine, image);
                 let known = last.entry((line.job, line.task)).or_insert(line);
                 if known.attempt < line.attempt {
                     *known = line;
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -281,6 +281,38 @@
     }
 }
 
+#[test]
+fn an_heir_knows_the_holders_of_images_from_the_log() {
+    let mut w = World::new();
+    w.known("n-1");
+    w.known("n-2");
+    w.job(spec("wk-1", 2), 50);
+    w.inherit(&[("n-2", "wk-1/0", 7)]);
+    // Neither runs anything any more, but n-2 has fetched the image.
+    for n in ["n-1", "n-2"] {
+        let r = w.report(n, w.token(), &[]);
+        w.part.report(&r, true, true);
+    }
+    w.tick(1100);
+    assert_eq!(starts(&w.tell("n-1", &[])).len(), 0);
+    assert_eq!(starts(&w.tell("n-2", &[])).len(), 2);
+}
+
+#[test]
+fn when_many_fall_together_replicas_come_back_first() {
+    let mut w = World::new();
+    ["n-1", "n-2", "n-3"].iter().for_each(|n| w.known(n));
+    w.job(spec("wk-1", 4), 50);
+    w.job(JobSpec { kind: Kind::Service, priority: Priority::Production, spot: false, ..spec("wk-2", 1) }, 50);
+    w.inherit(&[("n-2", "wk-1/0", 7), ("n-2", "wk-1/1", 8), ("n-3", "wk-2/0", 9)]);
+    let asked: Vec<String> = w.part.probes(9).into_iter().map(|d| d.machine).collect();
+    assert_eq!(asked, vec!["n-3", "n-2"]);
+    for i in 0..3 {
+        w.part.enter(i, MachineState::Releasing, "silent");
+    }
+    assert_eq!(w.part.leaving(2), vec!["n-3", "n-2"]);
+}
+
 #[test]
 fn a_confirmed_release_proves_a_machine_gone() {
     let mut w = World::new();
