Cloud loop: the list a page a round, strangers asked aside, releases before further rentals

Cause, read in the code while sizing it for 1,900 machines: a list is four pages at 1.8 calls a second, a round of rentals up to a hundred calls, and each late copy of a report of a machine that an earlier leader released 2 s of waiting, all before the next release.

--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Unexpected machines that are asked at a time.
+const ADOPTIONS: usize = 16;
+
 impl Shared {
     pub(super) async fn fleet(self) {
         let (gap, list_ms) = {
@@ -9,6 +12,8 @@
             ((1000.0 / c.rps) as u64 + 50, ((c.list_lag_s * 1000.0) as u64).max(4000))
         };
         let (mut types_at, mut list_at) = (None::<u64>, 0);
+        let mut page = None;
+        let adopting = Rc::new(Cell::new(0usize));
         loop {
             pause(200).await;
             let now = self.core.borrow().now();
@@ -27,20 +32,28 @@
             if !leads {
                 continue;
             }
-            self.adopt().await;
+            self.adopt(&adopting);
             if self.release().await {
                 pause(gap).await;
             }
-            if now > list_at + list_ms {
+            // A page a round: a list of thousands takes seconds, in which what fell together would wait for its release.
+            if now > list_at + list_ms && page.is_none() {
                 list_at = now;
-                self.list(gap).await;
+                page = Some(String::new());
+            }
+            if let Some(after) = page.take() {
+                page = self.list(&after).await;
+                pause(gap).await;
             }
             let open = self.settle_hires(gap).await;
             for (offer, count) in self.decide() {
                 // While the answer to a request is unknown, its machines may be on their way.
-                if !open && self.hire(offer, count).await {
-                    pause(gap).await;
-                } else {
+                if open || !self.hire(offer, count).await {
+                    break;
+                }
+                pause(gap).await;
+                // What is to be released may hold up replicas.
+                if self.core.borrow().part.as_ref().is_none_or(|p| !p.leaving(1).is_empty()) {
                     break;
                 }
             }
@@ -138,35 +151,55 @@
         true
     }
 
-    /// Takes machines that nobody expected into the store, so that they are used or returned.
-    pub(super) async fn adopt(&self) {
-        let (strangers, token, epoch) = {
+    /// Takes machines that nobody expected into the store, so that they are used or returned. A few at a time and beside
+    /// the dealings with the cloud: late copies of the reports of machines that an earlier leader has released name workers
+    /// that never answer, and asked one after the other they would hold up every release and rental.
+    pub(super) fn adopt(&self, flying: &Rc<Cell<usize>>) {
+        let room = ADOPTIONS.saturating_sub(flying.get());
+        let mut some = Vec::new();
+        {
             let mut core = self.core.borrow_mut();
+            while some.len() < room {
+                let Some(next) = core.strangers.pop_first() else { break };
+                some.push(next);
+            }
+        }
+        for (machine, stranger) in some {
+            let (me, flying) = (self.clone(), flying.clone());
+            flying.set(flying.get() + 1);
+            actix::spawn(async move {
+                me.take_in(machine, stranger).await;
+                flying.set(flying.get() - 1);
+            });
+        }
+    }
+
+    async fn take_in(&self, machine: String, Stranger { machine_type, zone, spot, ask }: Stranger) {
+        let (token, epoch) = {
+            let core = self.core.borrow();
             let Some((number, version, _)) = core.reign() else { return };
-            (std::mem::take(&mut core.strangers), crate::part::first_token(number), version)
-        };
-        for (machine, Stranger { machine_type, zone, spot, ask }) in strangers {
-            let known = {
-                let core = self.core.borrow();
-                let open = core.mirror.hires.values().any(|h| {
+            let open =
+                core.mirror.hires.values().any(|h| {
                     h.record.machines.is_none() && h.record.machine_type == machine_type && h.record.zone == zone
                 });
-                open || core.part.as_ref().is_none_or(|p| p.knows(&machine))
-            };
-            if known {
-                continue;
+            if open || core.part.as_ref().is_none_or(|p| p.knows(&machine)) {
+                return;
             }
-            if let Some((address, session)) = ask {
-                let probe = Direct { machine: machine.clone(), address, token, session, orders: Vec::new() };
-                if worker::send_direct(&self.http, &probe).await.is_none() {
-                    continue;
-                }
+            (crate::part::first_token(number), version)
+        };
+        if let Some((address, session)) = ask {
+            let probe = Direct { machine: machine.clone(), address, token, session, orders: Vec::new() };
+            if worker::send_direct(&self.http, &probe).await.is_none() {
+                return;
             }
-            let name = format!("found-{machine}");
-            let record = HireRecord { machine_type, zone, spot, count: 1, machines: Some(vec![machine.clone()]) };
-            let txn = store::hire_txn(&guard(store::epoch_key(), epoch), &name, 0, &record);
-            if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
-                tracing::info!(%machine, "unexpected machine taken in");
+        }
+        let name = format!("found-{machine}");
+        let record = HireRecord { machine_type, zone, spot, count: 1, machines: Some(vec![machine.clone()]) };
+        let txn = store::hire_txn(&guard(store::epoch_key(), epoch), &name, 0, &record);
+        if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
+            tracing::info!(%machine, "unexpected machine taken in");
+            // Of another epoch this one knows from the store.
+            if self.core.borrow().reign().is_some_and(|(_, version, _)| version == epoch) {
                 self.add_machines(&record);
             }
         }
@@ -182,35 +215,29 @@
         }
     }
 
-    pub(super) async fn list(&self, gap: u64) {
-        let mut after = String::new();
-        for _ in 0..50 {
-            let Some((machines, more)) = self.cloud.list(&after).await else { return };
-            pause(gap).await;
-            let mut core = self.core.borrow_mut();
-            let core = &mut *core;
-            // The list may still show what an earlier leader has released: an heir once took such machines in and counted
-            // on them for a minute. Workers that report are taken in at once.
-            let lag_ms = (core.settings.platform.deployment.cloud.list_lag_s * 2000.0) as u64 + 2000;
-            let settled = core.begun.elapsed().as_millis() as u64 > core.leads_since + lag_ms;
-            let Some(part) = core.part.as_mut() else { return };
-            after = machines.last().map(|m| m.id.clone()).unwrap_or_default();
-            let known: HashMap<String, usize> = part.machines().map(|(i, m)| (m.name.clone(), i)).collect();
-            for m in machines {
-                match known.get(&m.id) {
-                    Some(i) if m.state == "failed" => part.enter(*i, MachineState::Releasing, "failed"),
-                    Some(i) => part.listed(*i, m.state == "running", &m.address),
-                    None if !settled || core.released.contains_key(&m.id) || core.strangers.len() > STRANGERS => {}
-                    None => {
-                        let (machine_type, zone, spot) = (m.machine_type, m.zone, m.spot);
-                        core.strangers.insert(m.id, Stranger { machine_type, zone, spot, ask: None });
-                    }
+    /// Takes in one page of the list; returns where the next one begins.
+    pub(super) async fn list(&self, after: &str) -> Option<String> {
+        let (machines, more) = self.cloud.list(after).await?;
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        // The list may still show what an earlier leader has released: an heir once took such machines in and counted
+        // on them for a minute. Workers that report are taken in at once.
+        let lag_ms = (core.settings.platform.deployment.cloud.list_lag_s * 2000.0) as u64 + 2000;
+        let settled = core.begun.elapsed().as_millis() as u64 > core.leads_since + lag_ms;
+        let part = core.part.as_mut()?;
+        let next = machines.last().map(|m| m.id.clone());
+        for m in machines {
+            match part.index(&m.id) {
+                Some(i) if m.state == "failed" => part.enter(i, MachineState::Releasing, "failed"),
+                Some(i) => part.listed(i, m.state == "running", &m.address),
+                None if !settled || core.released.contains_key(&m.id) || core.strangers.len() > STRANGERS => {}
+                None => {
+                    let (machine_type, zone, spot) = (m.machine_type, m.zone, m.spot);
+                    core.strangers.insert(m.id, Stranger { machine_type, zone, spot, ask: None });
                 }
             }
-            if !more || after.is_empty() {
-                return;
-            }
         }
+        next.filter(|_| more)
     }
 
     /// Repeats rental requests whose answer is not known; true while some remain.
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -496,6 +496,11 @@
         self.machines.iter().enumerate().filter_map(|(i, m)| Some((i, m.as_ref()?)))
     }
 
+    /// A machine's index.
+    pub fn index(&self, machine: &str) -> Option<usize> {
+        self.machine_index.get(machine).copied()
+    }
+
     /// Whether a machine is known.
     pub fn knows(&self, machine: &str) -> bool {
         self.machine_index.contains_key(machine)
