--- a/src/api.rs
+++ b/src/api.rs
@@ -157,7 +157,7 @@
 pub async fn serve(node: Addr<Node>, api: SocketAddr, internal: SocketAddr, connections: usize) -> std::io::Result<()> {
     let open = Connections { open: Arc::default(), most: connections };
     let counted = open.clone();
-    let door = Door { node, internal, limiter: Arc::new(Mutex::new(Limiter::default())), connections: open };
+    let door = Door { node, internal, limiter: Arc::new(Mutex::new(Limiter::new(connections / 4))), connections: open };
     let server = HttpServer::new(move || {
         App::new()
             .app_data(web::Data::new(door.clone()))
--- a/src/limiter.rs
+++ b/src/limiter.rs
@@ -6,25 +6,28 @@
 use hdrhistogram::Histogram;
 
 const WINDOW: u64 = 20;
-const LEAST: f64 = 8.0;
 /// Nobody is helped by a refusal of what takes less: a quarter of the 2 s that users allow a poll. A state service that
 /// answered slowly, but answered, once had nearly everyone refused.
 const CARE_MS: f64 = 500.0;
-const MOST: f64 = 512.0;
 
 /// The limiter; all times in milliseconds.
 pub struct Limiter {
     limit: f64,
+    most: f64,
     in_progress: usize,
     peak: usize,
     window: Histogram<u32>,
     best_ms: f64,
 }
 
-impl Default for Limiter {
-    fn default() -> Self {
+impl Limiter {
+    /// One that may reach `most` requests in progress. It begins at a quarter: a node that was left alone with the users of
+    /// all, or whose state service had become slow, refused hundreds that it could take while its limit grew from little.
+    pub fn new(most: usize) -> Limiter {
+        let most = most.max(8) as f64;
         Limiter {
-            limit: 32.0,
+            limit: most / 4.0,
+            most,
             in_progress: 0,
             peak: 0,
             // Two digits over a minute: the bounds are valid, so the fallback is never taken.
@@ -32,9 +35,7 @@
             best_ms: f64::INFINITY,
         }
     }
-}
 
-impl Limiter {
     /// Admits a request, or not.
     pub fn enter(&mut self) -> bool {
         if self.in_progress >= self.limit as usize {
@@ -59,9 +60,9 @@
         // The best time is forgotten slowly, so that a service that has become slower for good is learned.
         self.best_ms = (self.best_ms * 1.02).min(usual).max(5.0);
         if usual > (4.0 * self.best_ms).max(CARE_MS) {
-            self.limit = (self.limit * 0.85).max(LEAST);
+            self.limit = (self.limit * 0.85).max(self.most / 32.0).max(2.0);
         } else if self.peak * 2 >= self.limit as usize {
-            self.limit = (self.limit + 2.0).min(MOST);
+            self.limit = (self.limit * 1.06).min(self.most);
         }
         self.window.reset();
         self.peak = self.in_progress;
@@ -86,7 +87,7 @@
 
     #[test]
     fn grows_while_fast_and_shrinks_when_slow() {
-        let mut l = Limiter::default();
+        let mut l = Limiter::new(128);
         rounds(&mut l, 30, 10, 20);
         let grown = l.limit();
         assert!(grown > 32);
@@ -102,7 +103,7 @@
 
     #[test]
     fn an_outage_elsewhere_teaches_nothing() {
-        let mut l = Limiter::default();
+        let mut l = Limiter::new(128);
         for _ in 0..100 {
             assert!(l.enter());
             l.leave(4000, false);
