An heir that nobody answers gives up after two probes

The first gave up after 8 s, its heir, cut off as well, only after 15.5 s more, about when the leases ran out. It asks everybody when it begins, so that silence after two probes is enough.

--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -95,8 +95,8 @@
             let store = self.store.clone();
             actix::spawn(async move { store.close_hold(hold).await });
         }
-        // Long enough for another to claim; then this one may try again, if nobody has.
-        core.no_campaign_until = core.now() + (core.settings.operator.hold_s * 2000.0) as u64;
+        // Long enough for another to claim, and for the next where that one is cut off as well.
+        core.no_campaign_until = core.now() + (core.settings.operator.hold_s * 4000.0) as u64;
         core.turn(Turn::Ended);
     }
 
--- a/src/part/machines.rs
+++ b/src/part/machines.rs
@@ -8,6 +8,8 @@
 const LEASE_MARGIN_MS: u64 = 500;
 /// Beside the time in which every machine reports, before a node takes itself for cut off.
 const DEAF_MARGIN_MS: u64 = 500;
+/// Two probes that all go unanswered, and their way.
+const UNANSWERED_MS: u64 = 5000;
 /// Between two ticks of a node that has its processor.
 const TICK_GAP_MS: u64 = 1000;
 
@@ -188,11 +190,14 @@
     }
 
     /// Whether none of the machines that should be heard from has reported of late, under whichever token: then it is this
-    /// node that is cut off.
+    /// node that is cut off. An heir that nobody has answered yet knows sooner, since it asks everybody when it begins: an
+    /// heir cut off like its predecessor once held the leadership until the leases had run out.
     pub fn deaf(&self) -> bool {
         let heard = |m: &Machine| m.reported_at.is_some_and(|at| self.now <= at + self.quiet_ms() + DEAF_MARGIN_MS);
-        let long = |m: &Machine| self.now > m.since + 2 * self.quiet_ms() + DEAF_MARGIN_MS;
-        self.expected().filter(|(_, m)| long(m)).count() > 2 && !self.expected().any(|(_, m)| heard(m))
+        let fresh = self.expected().all(|(_, m)| m.last == (0, 0));
+        let after = if fresh { UNANSWERED_MS } else { 2 * self.quiet_ms() + DEAF_MARGIN_MS };
+        self.expected().filter(|(_, m)| self.now > m.since + after).count() > 2
+            && !self.expected().any(|(_, m)| heard(m))
     }
 
     /// This node stood still for a time, or had no processor: what it has not heard meanwhile says nothing of the machines.
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -734,6 +734,26 @@
     assert_eq!(w.part.silent(5000, 40_000).len(), 9);
 }
 
+#[test]
+fn machines_of_a_zone_that_is_back_have_time_to_report() {
+    let mut w = World::new();
+    let all: Vec<String> = (0..8).map(|n| format!("n-{n}")).collect();
+    all.iter().for_each(|n| w.machine(n, "a"));
+    for s in 2..20 {
+        w.pass_to(s * 1000);
+        assert!(w.part.silent(5000, 40_000).is_empty());
+    }
+    // Most have reported; the others are about to.
+    for s in 20..24 {
+        w.pass_to(s * 1000);
+        all[..5].iter().for_each(|n| drop(w.tell(n, &[])));
+        assert!(w.part.silent(5000, 40_000).is_empty());
+    }
+    w.pass_to(25_500);
+    all[..5].iter().for_each(|n| drop(w.tell(n, &[])));
+    assert_eq!(w.part.silent(5000, 40_000).len(), 3);
+}
+
 #[test]
 fn a_node_that_hears_nobody_takes_itself_for_cut_off_but_not_after_it_stood_still() {
     let mut w = World::new();
@@ -754,6 +774,31 @@
     assert!(w.part.deaf() && w.part.silent(5000, 40_000).is_empty());
 }
 
+#[test]
+fn an_heir_that_nobody_answers_knows_soon_that_it_is_cut_off_too() {
+    let heir = |answered: bool| {
+        let mut w = World::new();
+        // Reports come so seldom that waiting for them would take most of a lease.
+        w.part.p.report_ms = 5000;
+        ["n-1", "n-2", "n-3"].iter().for_each(|n| w.known(n));
+        w.job(spec("wk-1", 3), 50);
+        w.inherit(&[("n-1", "wk-1/0", 7), ("n-2", "wk-1/1", 8), ("n-3", "wk-1/2", 9)]);
+        let probes = w.part.probes(9);
+        assert_eq!(probes.len(), 3);
+        w.pass_to(5500);
+        assert!(!w.part.deaf());
+        if answered {
+            let answer = w.report(&probes[0].machine, w.token(), &[]);
+            w.part.direct_answer(&probes[0], Some(&answer));
+        }
+        w.pass_to(6500);
+        w.part.deaf()
+    };
+    assert!(heir(false));
+    // One answer, by whichever way, and it is the others that are out.
+    assert!(!heir(true));
+}
+
 #[test]
 fn a_session_that_ends_though_it_was_answered_raises_the_token() {
     let mut w = World::new();
