--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,7 +10,7 @@
 use crate::leader::{Leadership, Right, Role, Turn};
 use crate::pacer::Pacer;
 use crate::part::{Direct, MachineState, Params, Part, Taken};
-use crate::peer::{self, View};
+use crate::peer::{self, Others, View};
 use crate::protocol::{
     self as wire, JobSpec, JobState, JobView, Kind, MachineType, RentRequest, Report, ReportReply, Txn,
 };
@@ -78,8 +78,6 @@
 /// Most machines in no hire that are looked at at a time.
 const STRANGERS: usize = 1000;
 
-/// A node that reaches no other for so long, nor is refused by one, is apart.
-const APART_MS: u64 = 5000;
 /// A connection that fails sooner was refused.
 const REFUSED_MS: u128 = 500;
 
@@ -104,9 +102,7 @@
     fleet: Fleet,
     types: Vec<MachineType>,
     counts: HashMap<String, (u32, u32)>,
-    peers_ok: HashMap<String, (u64, bool)>,
-    /// When a peer last answered or refused a connection: something of the others was reached.
-    peers_at: u64,
+    others: Others,
     newest_epoch: u64,
     state_ok_at: u64,
     no_campaign_until: u64,
@@ -253,17 +249,14 @@
         if let Some(counts) = v.counts.filter(|_| self.part.is_none() && v.epoch >= self.newest_epoch) {
             self.counts = counts.into_iter().map(|(id, done, running)| (id, (done, running))).collect();
         }
-        self.peers_ok.insert(v.node, (now, v.state_ok));
+        self.others.told(v.node, v.state_ok, now);
     }
 
     /// Whether this node should get users: it is loaded, and if the state service does not answer it, then not it alone.
-    /// That it is alone is known from another to whom it does answer, or believed where nothing of the others is reached
-    /// either: a node that had lost both kept its users, and with its few connections was given more.
+    /// A node that had lost the service and the others kept its users, and with its few connections was given more.
     fn healthy(&self) -> bool {
-        let now = self.now();
-        let other_ok = self.peers_ok.values().any(|(at, ok)| *ok && now < at + 3000);
-        let apart = !self.settings.platform.peers.is_empty() && now > self.peers_at + APART_MS;
-        self.mirror.loaded && !self.types.is_empty() && (self.state_ok() || !(other_ok || apart))
+        let alone = !self.settings.platform.peers.is_empty() && self.others.alone(self.now());
+        self.mirror.loaded && !self.types.is_empty() && (self.state_ok() || !alone)
     }
 
     fn report(&mut self, r: &Report) -> WorkerAnswer {
@@ -481,11 +474,11 @@
                     let from = Instant::now();
                     let answer = peer::ask(&me.http, addr, &own).await;
                     let mut core = me.core.borrow_mut();
-                    if answer.is_some() || from.elapsed().as_millis() < REFUSED_MS {
-                        core.peers_at = core.now();
-                    }
-                    if let Some(v) = answer {
-                        core.take_view(v);
+                    let now = core.now();
+                    match answer {
+                        Some(v) => core.take_view(v),
+                        None if from.elapsed().as_millis() < REFUSED_MS => core.others.refused(now),
+                        None => {}
                     }
                 });
             }
@@ -520,8 +513,7 @@
             fleet: Fleet::default(),
             types: Vec::new(),
             counts: HashMap::new(),
-            peers_ok: HashMap::new(),
-            peers_at: 0,
+            others: Others::default(),
             newest_epoch: 0,
             state_ok_at: 0,
             no_campaign_until: 0,
