--- a/src/api.rs
+++ b/src/api.rs
@@ -1,7 +1,7 @@
 //! The doors: users, workers, health checks and the other controllers.
 
 use crate::limiter::Limiter;
-use crate::node::{Abort, Answer, Health, Node, PeerView, Poll, Submit, WorkerAnswer, WorkerReport};
+use crate::node::{Abort, Answer, Health, Node, PeerCancelled, PeerView, Poll, Submit, WorkerAnswer, WorkerReport};
 use crate::peer;
 use crate::protocol::{self as wire, decode, encode, JobSpec, Report, BODY_LIMIT};
 use actix::Addr;
@@ -146,13 +146,24 @@
     if request.app_config().local_addr() != door.internal {
         return plain(404, "no such path");
     }
-    let Some(view) = peer::decode(&body) else { return plain(400, "malformed") };
+    let Some(view) = peer::decode::<peer::View>(&body) else { return plain(400, "malformed") };
     match door.node.send(PeerView(view)).await {
         Ok(own) => HttpResponse::Ok().body(peer::encode(&own)),
         Err(_) => plain(503, "stopping"),
     }
 }
 
+async fn cancelled(door: web::Data<Door>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    if request.app_config().local_addr() != door.internal {
+        return plain(404, "no such path");
+    }
+    let Some(told) = peer::decode::<peer::Cancelled>(&body) else { return plain(400, "malformed") };
+    match door.node.send(PeerCancelled(told)).await {
+        Ok(revision) => HttpResponse::Ok().body(peer::encode(&revision)),
+        Err(_) => plain(503, "stopping"),
+    }
+}
+
 /// Serves both addresses until the process ends.
 pub async fn serve(node: Addr<Node>, api: SocketAddr, internal: SocketAddr, connections: usize) -> std::io::Result<()> {
     let open = Connections { open: Arc::default(), most: connections };
@@ -173,6 +184,11 @@
             .service(
                 web::resource("/peer/view").app_data(web::PayloadConfig::new(peer::LIMIT)).route(web::post().to(view)),
             )
+            .service(
+                web::resource("/peer/cancelled")
+                    .app_data(web::PayloadConfig::new(peer::LIMIT))
+                    .route(web::post().to(cancelled)),
+            )
             .default_service(web::to(|| async { plain(404, "no such path") }))
     })
     .on_connect(move |_, data| {
--- a/src/config.rs
+++ b/src/config.rs
@@ -279,11 +279,13 @@
         Ok(())
     }
 
-    /// How long after its right to start has ended a leader may go on renewing leases, in milliseconds: short enough
-    /// that a task of a job cancelled elsewhere meanwhile is gone in time.
-    pub fn ride_ms(&self) -> u64 {
+    /// The grace period: how long after its right to start has ended a leader may go on renewing leases, in milliseconds.
+    /// Short enough that a task of a job cancelled elsewhere meanwhile is gone in time. The right to start ends within a
+    /// hold of the sending of the last read that the mirror has reached, so that a cancellation the leader does not know
+    /// of was confirmed after that; from then on a hold, this period and a worker's lease pass at most.
+    pub fn grace_ms(&self) -> u64 {
         let w = &self.platform.deployment.workers;
-        // The hold itself, the watch's lag, and what a report may be under way.
+        // The hold itself, and for stops that come late after all what two reports and their answers take.
         let margin = self.operator.hold_s + 1.5 + 2.0 * w.report_s;
         ((w.cancel_s - w.lease_s * 1.001 - margin) * 1000.0).max(0.0) as u64
     }
@@ -345,15 +347,15 @@
     }
 
     #[test]
-    fn riding_out_an_outage_ends_before_a_cancelled_task_could_overstay() {
+    fn the_grace_period_of_an_outage_ends_before_a_cancelled_task_could_overstay() {
         let s = settings();
         let w = &s.platform.deployment.workers;
-        assert!(s.operator.hold_s + (s.ride_ms() as f64) / 1000.0 + w.lease_s + 2.0 * w.report_s < w.cancel_s);
+        assert!(s.operator.hold_s + (s.grace_ms() as f64) / 1000.0 + w.lease_s + 2.0 * w.report_s < w.cancel_s);
         // A longer hold leaves less, never an overstay.
         let mut long = settings();
         long.operator.hold_s = 20.0;
         let w = &long.platform.deployment.workers;
-        assert!(long.operator.hold_s + (long.ride_ms() as f64) / 1000.0 + w.lease_s <= w.cancel_s);
-        assert!(long.ride_ms() < s.ride_ms());
+        assert!(long.operator.hold_s + (long.grace_ms() as f64) / 1000.0 + w.lease_s <= w.cancel_s);
+        assert!(long.grace_ms() < s.grace_ms());
     }
 }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -1,11 +1,20 @@
 //! Leadership of one epoch: who may start tasks, until when, and who may still renew leases.
 //!
+//! Rights follow knowledge. A hold that was renewed says that nobody else leads; it does not say that this node has heard
+//! of the cancellations which the others confirmed. So every right counts from the *sending* of the older of two requests:
+//! the last good renewal of the hold, and the last read of the store whose answer this node's mirror has reached.
+//!
 //! Pure: times come in as milliseconds of the steady clock.
 
+#[cfg(test)]
+mod tests;
+
 /// Most by which a steady clock may run wrong, with room to spare (the wire promises 0.05%).
 pub const DRIFT: f64 = 0.001;
 /// Kept back from every right that ends at a time.
 const MARGIN_MS: u64 = 150;
+/// Most reads that wait for the mirror; beyond that the oldest is given up, which only delays a right.
+const READS: usize = 64;
 
 /// Where a node stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,7 +39,7 @@
 pub enum Right {
     /// Nothing.
     None,
-    /// Renew leases and stop tasks, but start nothing: the hold may have ended unseen.
+    /// Renew leases and stop tasks, but start nothing: the hold may have ended unseen, or a job may have been cancelled.
     Renew,
     /// Everything.
     Full,
@@ -38,7 +47,7 @@
 
 /// What happens to a node's leadership.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Turn {
+pub enum Event {
     /// It begins to campaign.
     Campaign,
     /// The campaign failed.
@@ -56,7 +65,16 @@
     },
     /// A renewal sent at this time succeeded.
     Renewed(u64),
-    /// The hold has ended, or another epoch was seen, or the time to ride an outage is over.
+    /// A read of the store sent at `sent` was answered: the store was at `revision` by then, or later.
+    Read {
+        /// When it was sent.
+        sent: u64,
+        /// The revision it told.
+        revision: u64,
+    },
+    /// The mirror holds every change up to this revision.
+    Mirrored(u64),
+    /// The hold has ended, or another epoch was seen, or the grace period of an outage is over.
     Ended,
 }
 
@@ -64,14 +82,19 @@
 pub struct Leadership {
     role: Role,
     ttl_ms: u64,
-    ride_ms: u64,
-    confirmed: u64,
+    grace_ms: u64,
+    renewed: u64,
+    /// Sending time of the newest read that the mirror has reached.
+    known: u64,
+    mirrored: u64,
+    /// Reads that the mirror has not reached yet: sending time and revision.
+    reads: Vec<(u64, u64)>,
 }
 
 impl Leadership {
-    /// A follower whose holds live `ttl_ms` and who may renew leases `ride_ms` beyond its right to start.
-    pub fn new(ttl_ms: u64, ride_ms: u64) -> Self {
-        Leadership { role: Role::Follower, ttl_ms, ride_ms, confirmed: 0 }
+    /// A follower whose holds live `ttl_ms` and who may renew leases `grace_ms` beyond its right to start.
+    pub fn new(ttl_ms: u64, grace_ms: u64) -> Self {
+        Leadership { role: Role::Follower, ttl_ms, grace_ms, renewed: 0, known: 0, mirrored: 0, reads: Vec::new() }
     }
 
     /// The role.
@@ -80,19 +103,32 @@
     }
 
     /// The one place where the role changes. True if it did.
-    pub fn turn(&mut self, turn: Turn) -> bool {
-        let next = match (&self.role, turn) {
-            (Role::Follower, Turn::Campaign) => Role::Campaigning,
-            (Role::Campaigning, Turn::Lost) => Role::Follower,
-            (Role::Campaigning, Turn::Won { epoch, version, hold, sent }) => {
-                self.confirmed = sent;
+    pub fn apply(&mut self, event: Event) -> bool {
+        let next = match (&self.role, event) {
+            (_, Event::Read { sent, revision }) => {
+                self.reads.push((sent, revision));
+                if self.reads.len() > READS {
+                    self.reads.remove(0);
+                }
+                self.catch_up();
+                return false;
+            }
+            (_, Event::Mirrored(revision)) => {
+                self.mirrored = self.mirrored.max(revision);
+                self.catch_up();
+                return false;
+            }
+            (Role::Follower, Event::Campaign) => Role::Campaigning,
+            (Role::Campaigning, Event::Lost) => Role::Follower,
+            (Role::Campaigning, Event::Won { epoch, version, hold, sent }) => {
+                self.renewed = sent;
                 Role::Leading { epoch, version, hold }
             }
-            (Role::Leading { .. }, Turn::Renewed(sent)) => {
-                self.confirmed = self.confirmed.max(sent);
+            (Role::Leading { .. }, Event::Renewed(sent)) => {
+                self.renewed = self.renewed.max(sent);
                 return false;
             }
-            (Role::Leading { .. }, Turn::Ended) => Role::Follower,
+            (Role::Leading { .. }, Event::Ended) => Role::Follower,
             _ => return false,
         };
         tracing::info!(from = ?self.role, to = ?next, "role");
@@ -100,60 +136,39 @@
         true
     }
 
-    /// What may be done now. The hold counts from the *sending* of its last good renewal.
+    /// Reads that the mirror has reached become knowledge.
+    fn catch_up(&mut self) {
+        let (mirrored, known) = (self.mirrored, &mut self.known);
+        self.reads.retain(|(sent, revision)| {
+            if *revision <= mirrored {
+                *known = (*known).max(*sent);
+            }
+            *revision > mirrored
+        });
+    }
+
+    /// What may be done now.
+    ///
+    /// A renewal alone once gave the full right back: after a refusal or an outage, in which open watches wait silently and
+    /// holds have their full time again, a leader started tasks of jobs that others had confirmed as cancelled meanwhile,
+    /// and short refusals in a row stretched the time for which such tasks were kept alive.
     pub fn right(&self, now: u64) -> Right {
         if !matches!(self.role, Role::Leading { .. }) {
             return Right::None;
         }
         let full = (self.ttl_ms as f64 * (1.0 - DRIFT)) as u64;
-        let until = self.confirmed + full.saturating_sub(MARGIN_MS);
+        let until = self.renewed.min(self.known) + full.saturating_sub(MARGIN_MS);
         if now < until {
             Right::Full
-        } else if now < until + self.ride_ms {
+        } else if now < until + self.grace_ms {
             Right::Renew
         } else {
             Right::None
         }
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn leading() -> Leadership {
-        let mut l = Leadership::new(2000, 10_000);
-        assert!(l.turn(Turn::Campaign));
-        assert!(l.turn(Turn::Won { epoch: 3, version: 9, hold: 1, sent: 1000 }));
-        l
-    }
-
-    #[test]
-    fn the_right_to_start_counts_from_sending_the_renewal() {
-        let mut l = leading();
-        assert_eq!(l.right(2800), Right::Full);
-        assert_eq!(l.right(2900), Right::Renew);
-        l.turn(Turn::Renewed(2500));
-        assert_eq!(l.right(4300), Right::Full);
-        // An answer to an older renewal must not shorten or lengthen anything.
-        l.turn(Turn::Renewed(1500));
-        assert_eq!(l.right(4300), Right::Full);
-    }
-
-    #[test]
-    fn riding_an_outage_ends() {
-        let mut l = leading();
-        assert_eq!(l.right(12_000), Right::Renew);
-        assert_eq!(l.right(12_900), Right::None);
-        assert!(l.turn(Turn::Ended));
-        assert_eq!(l.right(1100), Right::None);
-        assert!(!l.turn(Turn::Renewed(5000)));
-    }
 
-    #[test]
-    fn a_follower_cannot_win_without_campaigning() {
-        let mut l = Leadership::new(2000, 0);
-        assert!(!l.turn(Turn::Won { epoch: 1, version: 1, hold: 1, sent: 1 }));
-        assert_eq!(*l.role(), Role::Follower);
+    /// Whether the mirror is behind a read that was sent before `before`: its watch may wait silently.
+    pub fn behind(&self, before: u64) -> bool {
+        self.reads.iter().any(|(sent, _)| *sent < before)
     }
 }
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -8,20 +8,29 @@
         loop {
             let step = (ttl / 5).min(500);
             let _ = tokio::time::timeout(Duration::from_millis(step), self.campaign.notified()).await;
-            let (reign, sent, free) = {
+            let (term, sent, free) = {
                 let core = self.core.borrow();
                 let now = core.now();
                 let free = core.mirror.loaded && core.free_to_claim() && now >= core.no_campaign_until;
-                (core.reign(), now, free)
+                (core.term(), now, free)
             };
-            if let Some((_, _, hold)) = reign {
+            if let Some((_, _, hold)) = term {
+                // Rights need both: the hold, and a mirror that has caught up with a read of now.
+                self.reading.notify_one();
                 let within = Duration::from_millis((ttl / 2).min(1000));
                 let renewed = self.noted(self.store.renew(hold, within).await);
                 let mut core = self.core.borrow_mut();
                 match renewed {
-                    Ok(()) => core.turn(Turn::Renewed(sent)),
-                    Err(StoreError::Gone) => core.turn(Turn::Ended),
-                    Err(_) if core.right() == Right::None => core.turn(Turn::Ended),
+                    Ok(()) => {
+                        core.lead_event(Event::Renewed(sent));
+                        if core.part.is_some() && core.right() == Right::None {
+                            tracing::info!("does not catch up with the store, gives leadership up");
+                            drop(core);
+                            self.give_up();
+                        }
+                    }
+                    Err(StoreError::Gone) => core.lead_event(Event::Ended),
+                    Err(_) if core.right() == Right::None => core.lead_event(Event::Ended),
                     Err(_) => {}
                 }
             } else if free {
@@ -36,7 +45,7 @@
     pub(super) async fn run_for_leader(&self, ttl: u64) {
         let sent = {
             let mut core = self.core.borrow_mut();
-            core.turn(Turn::Campaign);
+            core.lead_event(Event::Campaign);
             core.now()
         };
         let won = match self.noted(self.store.open_hold(ttl).await) {
@@ -44,18 +53,19 @@
             Err(_) => None,
         };
         let Some((epoch, version, hold)) = won else {
-            self.core.borrow_mut().turn(Turn::Lost);
+            self.core.borrow_mut().lead_event(Event::Lost);
             pause(100).await;
             return;
         };
-        self.core.borrow_mut().turn(Turn::Won { epoch, version, hold, sent });
+        self.core.borrow_mut().lead_event(Event::Won { epoch, version, hold, sent });
         // The mirror must have reached the epoch before anything is built on it.
         let mut seen = self.revision.subscribe();
         let wait = tokio::time::timeout(Duration::from_millis(ttl * 3 / 4), seen.wait_for(|r| *r >= version)).await;
         let mut core = self.core.borrow_mut();
+        core.lead_event(Event::Read { sent, revision: version });
         match wait {
-            Ok(Ok(_)) if core.reign().is_some() => core.rebuild(epoch),
-            _ => core.turn(Turn::Ended),
+            Ok(Ok(_)) if core.term().is_some() => core.rebuild(epoch),
+            _ => core.lead_event(Event::Ended),
         }
     }
 
@@ -91,13 +101,13 @@
     /// Gives leadership up, so that a node that hears the workers may take it at once.
     fn give_up(&self) {
         let mut core = self.core.borrow_mut();
-        if let Some((_, _, hold)) = core.reign() {
+        if let Some((_, _, hold)) = core.term() {
             let store = self.store.clone();
             actix::spawn(async move { store.close_hold(hold).await });
         }
         // Long enough for another to claim, and for the next where that one is cut off as well.
         core.no_campaign_until = core.now() + (core.settings.operator.hold_s * 4000.0) as u64;
-        core.turn(Turn::Ended);
+        core.lead_event(Event::Ended);
     }
 
     pub(super) async fn ticks(self) {
@@ -151,14 +161,14 @@
             for d in sends {
                 let me = self.clone();
                 let flying = flying.clone();
-                let epoch = self.core.borrow().reign();
+                let epoch = self.core.borrow().term();
                 flying.set(flying.get() + 1);
                 actix::spawn(async move {
                     let answer = worker::send_direct(&me.http, &d).await;
                     flying.set(flying.get() - 1);
                     let mut core = me.core.borrow_mut();
                     // An answer for an earlier epoch means nothing to this one.
-                    if core.reign() == epoch {
+                    if core.term() == epoch {
                         let now = core.now();
                         if let Some(part) = core.part.as_mut() {
                             part.at(now);
@@ -175,38 +185,39 @@
 
     /// Writes the start log: one append at a time, so that the order of writes is that of the assignments.
     pub(super) async fn start_log(self) {
-        let (limit, pace) = {
+        let (limit, most, pace) = {
             let core = self.core.borrow();
             let s = &core.settings.platform.deployment.state;
             // The value's quotes, and the rest of the transaction.
-            let limit = ((s.value_kb * 1024.0) as usize).min(60 << 10).saturating_sub(64);
-            (limit, (4000.0 / s.write_rps) as u64)
+            // Four conditions for each change are allowed, two are taken, and 100 bytes are enough for one.
+            let most = (4 * s.txn_ops - 2).min(100);
+            let limit = ((s.value_kb * 1024.0) as usize).min((60 << 10) - 100 * most).saturating_sub(64);
+            (limit, most, (4000.0 / s.write_rps) as u64)
         };
         loop {
             self.logging.notified().await;
-            let (append, reign) = {
+            let (append, term) = {
                 let mut core = self.core.borrow_mut();
-                let Some(reign) = core.reign().filter(|_| core.right() == Right::Full) else { continue };
-                let Some(append) = core.part.as_mut().and_then(|p| p.append(limit)) else { continue };
-                (append, reign)
+                let Some(term) = core.term().filter(|_| core.right() == Right::Full) else { continue };
+                let Some(append) = core.part.as_mut().and_then(|p| p.append(limit, most)) else { continue };
+                (append, term)
             };
-            let key = store::starts_key(append.slot);
-            let txn = Txn {
-                guards: vec![guard(store::epoch_key(), reign.1), guard(key.clone(), append.version)],
-                apply: vec![put(key.clone(), &append.text, None)],
-            };
-            let done = self.txn(&txn).await;
+            let done = self.txn(&store::log_txn(&guard(store::epoch_key(), term.1), &append)).await;
             // Without an answer, or if an unanswered earlier one went through: what does the slot hold?
             let found = match done {
                 Ok(Decided::Applied(_)) | Err(StoreError::Busy | StoreError::Refused) => None,
-                _ => self.noted(self.store.get::<String>(&key).await).ok(),
+                _ => self.noted(self.store.get::<String>(&store::starts_key(append.slot)).await).ok(),
             };
             {
                 let mut core = self.core.borrow_mut();
-                if core.reign() != Some(reign) {
+                if core.term() != Some(term) {
                     continue;
                 }
                 let Some(part) = core.part.as_mut() else { continue };
+                // The store knows that a job is over before the mirror does.
+                if let Ok(Decided::Failed(keys)) = &done {
+                    keys.iter().filter_map(|k| store::live_job(k)).for_each(|id| part.drop_job(id));
+                }
                 match (done, found) {
                     (Ok(Decided::Applied(version)), _) => part.appended(append, version),
                     (_, Some(f)) if f.record == append.text => part.appended(append, f.version),
@@ -230,7 +241,7 @@
             pause(FLUSH_MS).await;
             let version = {
                 let core = self.core.borrow();
-                match core.reign() {
+                match core.term() {
                     Some((_, version, _)) if core.right() == Right::Full && core.part.is_some() => version,
                     _ => continue,
                 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,10 +7,10 @@
 use crate::cloud::{CloudClient, Rented, RELEASE_MOST};
 use crate::config::Settings;
 use crate::fleet::{Fleet, Offer};
-use crate::leader::{Leadership, Right, Role, Turn};
+use crate::leader::{Event, Leadership, Right, Role};
 use crate::pacer::Pacer;
 use crate::part::{Direct, MachineState, Params, Part, Taken};
-use crate::peer::{self, Others, View};
+use crate::peer::{self, Cancelled, Hints, Others, View};
 use crate::protocol::{
     self as wire, JobSpec, JobState, JobView, Kind, MachineType, RentRequest, Report, ReportReply, Txn,
 };
@@ -19,6 +19,7 @@
 };
 use crate::worker;
 use actix::prelude::*;
+use futures_util::future::{select, Either};
 use rand::Rng;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -50,6 +51,10 @@
 #[derive(Message)]
 #[rtype(result = "View")]
 pub struct PeerView(pub View);
+/// Another controller tells of cancellations that are durable.
+#[derive(Message)]
+#[rtype(result = "u64")]
+pub struct PeerCancelled(pub Cancelled);
 
 /// What a user is told.
 #[derive(Debug, Clone, PartialEq)]
@@ -103,6 +108,7 @@
     types: Vec<MachineType>,
     counts: HashMap<String, (u32, u32)>,
     others: Others,
+    hints: Hints,
     newest_epoch: u64,
     state_ok_at: u64,
     no_campaign_until: u64,
@@ -131,7 +137,7 @@
     }
 
     /// Number, version of the epoch key and hold, while leading.
-    fn reign(&self) -> Option<(u64, u64, u64)> {
+    fn term(&self) -> Option<(u64, u64, u64)> {
         match *self.lead.role() {
             Role::Leading { epoch, version, hold } => Some((epoch, version, hold)),
             _ => None,
@@ -142,8 +148,8 @@
         self.mirror.free_to_claim(&self.me)
     }
 
-    fn turn(&mut self, turn: Turn) {
-        if self.lead.turn(turn) && self.reign().is_none() {
+    fn lead_event(&mut self, event: Event) {
+        if self.lead.apply(event) && self.term().is_none() {
             self.part = None;
             self.strangers.clear();
             self.gone.clear();
@@ -164,6 +170,10 @@
             match s {
                 Seen::Job(id) => {
                     let (Some(part), Some(v)) = (self.part.as_mut(), self.mirror.live.get(&id)) else { continue };
+                    // Another's word of its cancellation may be here before the mirror has seen it come and go.
+                    if self.mirror.over(&id).is_some() {
+                        continue;
+                    }
                     part.at(now);
                     let done = done_rows(&self.mirror, &id);
                     part.add_job(v.record.clone(), v.version, &done, wall, false);
@@ -186,8 +196,8 @@
         }
         let number = self.mirror.epoch.as_ref().map_or(0, |e| e.record.number);
         self.newest_epoch = self.newest_epoch.max(number);
-        if self.reign().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
-            self.turn(Turn::Ended);
+        if self.term().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
+            self.lead_event(Event::Ended);
         }
     }
 
@@ -203,7 +213,8 @@
             }
         }
         for (id, v) in &self.mirror.live {
-            part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, false);
+            let ended = self.mirror.over(id).is_some();
+            part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, ended);
         }
         for (id, v) in &self.mirror.stopping {
             part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, true);
@@ -231,7 +242,8 @@
 
     fn own_view(&self) -> View {
         let counts = self.part.as_ref().filter(|_| self.right() != Right::None).map(|p| p.all_counts());
-        View { node: self.me.node.clone(), epoch: self.newest_epoch, state_ok: self.state_ok(), counts }
+        let (node, revision) = (self.me.node.clone(), self.mirror.revision);
+        View { node, epoch: self.newest_epoch, revision, state_ok: self.state_ok(), counts }
     }
 
     fn state_ok(&self) -> bool {
@@ -243,15 +255,45 @@
         if v.epoch > self.newest_epoch {
             self.newest_epoch = v.epoch;
         }
-        if self.reign().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
-            self.turn(Turn::Ended);
+        if self.term().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
+            self.lead_event(Event::Ended);
         }
         if let Some(counts) = v.counts.filter(|_| self.part.is_none() && v.epoch >= self.newest_epoch) {
             self.counts = counts.into_iter().map(|(id, done, running)| (id, (done, running))).collect();
         }
+        self.hints.acknowledged(&v.node, v.revision);
         self.others.told(v.node, v.state_ok, now);
     }
 
+    /// A cancellation is known to be durable, perhaps sooner than the mirror shows it: what runs of the job is stopped,
+    /// nothing of it is started or believed to be done any more.
+    fn cancelled(&mut self, id: &str, tasks: u32) {
+        let now = self.now();
+        self.mirror.remember_over(id, OverRecord { cancelled: true, tasks });
+        if let Some(part) = self.part.as_mut() {
+            part.at(now);
+            part.drop_job(id);
+        }
+    }
+
+    /// Another node's word of cancellations; tells how far this one's mirror is.
+    fn take_cancelled(&mut self, told: &Cancelled) -> u64 {
+        for (id, tasks) in told.jobs.iter().filter(|(id, _)| wire::job_id(id)) {
+            self.cancelled(id, *tasks);
+        }
+        self.mirror.revision
+    }
+
+    /// Whether no leader can start anything any more of a job whose cancellation is durable at a revision: the leader of
+    /// then has been told, or its hold has ended. A later one has read the store since.
+    fn stops_known(&self, revision: u64) -> bool {
+        let Some(leader) = self.mirror.leader.as_ref() else { return self.mirror.revision >= revision };
+        self.mirror.revision >= revision
+            && (leader.record == self.me
+                || leader.version > revision
+                || self.hints.known_by(&leader.record.node) >= revision)
+    }
+
     /// Whether this node should get users: it is loaded, and if the state service does not answer it, then not it alone.
     /// A node that had lost the service and the others kept its users, and with its few connections was given more.
     fn healthy(&self) -> bool {
@@ -275,7 +317,7 @@
         match part.report(r, true, right == Right::Full) {
             Taken::Reply(reply) => WorkerAnswer::Reply(reply),
             Taken::Superseded => {
-                self.turn(Turn::Ended);
+                self.lead_event(Event::Ended);
                 WorkerAnswer::Later
             }
             Taken::Stranger => {
@@ -331,6 +373,8 @@
     revision: Rc<watch::Sender<u64>>,
     campaign: Rc<Notify>,
     reading: Rc<Notify>,
+    /// Others have to be told of a cancellation.
+    cancelled: Rc<Notify>,
     /// Something may have to be placed or sent at once.
     urgent: Rc<Notify>,
     /// Starts may wait for their lines in the log.
@@ -341,6 +385,10 @@
 const TICK_MS: u64 = 100;
 /// Least time between two rounds of placing and sending.
 const PASS_MS: u64 = 20;
+/// How long a watch waits for a change.
+const WATCH_MS: u64 = 4000;
+/// How long the mirror may lag behind a read before its watch is opened anew; doubled while that does not help.
+const PATIENCE_MS: u64 = 500;
 /// Time between rounds of durable writes of the leader.
 const FLUSH_MS: u64 = 500;
 
@@ -378,7 +426,7 @@
         };
         // A quarter of the request budget goes to watches, shared among the nodes.
         let pace = ((4000.0 * nodes as f64 / rps) as u64).clamp(20, 1000);
-        let mut loaded = false;
+        let (mut loaded, mut patience) = (false, PATIENCE_MS);
         loop {
             if !loaded {
                 match self.noted(self.store.load().await) {
@@ -388,6 +436,7 @@
                             let mut core = self.core.borrow_mut();
                             let seen = core.mirror.replace(fresh);
                             core.seen(seen, &self.campaign);
+                            core.lead_event(Event::Mirrored(revision));
                         }
                         self.revision.send_replace(revision);
                         loaded = true;
@@ -400,13 +449,25 @@
                 }
             }
             let after = self.core.borrow().mirror.revision;
-            match self.noted(self.store.watch(after, 4000).await) {
+            let watch = Box::pin(self.store.watch(after, WATCH_MS));
+            let watched = match select(watch, Box::pin(self.left_behind(patience))).await {
+                Either::Left((watched, _)) => watched,
+                Either::Right(_) => {
+                    tracing::info!(after, "watch waits silently, opened anew");
+                    patience = (patience * 2).min(WATCH_MS);
+                    continue;
+                }
+            };
+            match self.noted(watched) {
                 Ok(w) => {
+                    patience = PATIENCE_MS;
                     let quiet = w.events.is_empty();
                     {
                         let mut core = self.core.borrow_mut();
                         let seen = core.mirror.apply(w.revision, &w.events);
                         core.seen(seen, &self.campaign);
+                        let revision = core.mirror.revision;
+                        core.lead_event(Event::Mirrored(revision));
                     }
                     self.revision.send_replace(w.revision);
                     self.urgent.notify_one();
@@ -423,23 +484,37 @@
         }
     }
 
+    /// Returns when a read that was sent a while ago has told of changes that the mirror still lacks. A watch that was open
+    /// when the state service refused this node, or was down, may wait on silently after it.
+    async fn left_behind(&self, patience: u64) {
+        loop {
+            pause(patience).await;
+            let core = self.core.borrow();
+            if core.lead.behind(core.now().saturating_sub(patience)) {
+                return;
+            }
+        }
+    }
+
     /// Answers readers: one compare-only transaction gives the revision that their answers must have reached.
     async fn read_barrier(self) {
         loop {
             self.reading.notified().await;
             pause(40).await;
-            let (readers, txn) = {
+            let (readers, txn, leads, sent) = {
                 let mut core = self.core.borrow_mut();
+                let (leads, sent) = (core.term().is_some(), core.now());
                 let version = core.mirror.epoch.as_ref().map_or(0, |e| e.version);
                 let txn = Txn { guards: vec![guard(store::epoch_key(), version)], apply: Vec::new() };
-                (std::mem::take(&mut core.readers), txn)
+                (std::mem::take(&mut core.readers), txn, leads, sent)
             };
-            if readers.is_empty() {
+            if readers.is_empty() && !leads {
                 continue;
             }
             let http = self.clone();
             actix::spawn(async move {
                 if let Ok(revision) = http.noted(http.store.barrier(&txn).await) {
+                    http.core.borrow_mut().lead_event(Event::Read { sent, revision });
                     readers.into_iter().for_each(|r| {
                         let _ = r.send(revision);
                     });
@@ -463,6 +538,29 @@
         matches!(tokio::time::timeout(Duration::from_millis(1500), wait).await, Ok(Some(())))
     }
 
+    /// Tells the others of cancellations, again until they know.
+    async fn tell_cancelled(self) {
+        let peers = self.core.borrow().settings.platform.peers.clone();
+        loop {
+            let _ = tokio::time::timeout(Duration::from_millis(500), self.cancelled.notified()).await;
+            for p in &peers {
+                let (told, revision) = {
+                    let core = self.core.borrow();
+                    let Some((jobs, revision)) = core.hints.unknown_to(&p.node) else { continue };
+                    (Cancelled { jobs }, revision)
+                };
+                let (me, node, addr) = (self.clone(), p.node.clone(), p.peer_addr);
+                actix::spawn(async move {
+                    if let Some(mirrored) = peer::tell_cancelled(&me.http, addr, &told).await {
+                        me.core.borrow_mut().hints.acknowledged(&node, revision.max(mirrored));
+                    }
+                });
+            }
+            // What is called off at the same moment goes together.
+            pause(PASS_MS).await;
+        }
+    }
+
     async fn peers(self) {
         let peers = self.core.borrow().settings.platform.peers.clone();
         loop {
@@ -504,7 +602,7 @@
         // Users get at most two thirds of the changes; the rest is for the leader's books.
         let user_changes = state.write_rps * 2.0 / 3.0 / (settings.platform.peers.len() + 1) as f64;
         let core = Core {
-            lead: Leadership::new(ttl, settings.ride_ms()),
+            lead: Leadership::new(ttl, settings.grace_ms()),
             settings,
             begun: Instant::now(),
             me,
@@ -514,6 +612,7 @@
             types: Vec::new(),
             counts: HashMap::new(),
             others: Others::default(),
+            hints: Hints::default(),
             newest_epoch: 0,
             state_ok_at: 0,
             no_campaign_until: 0,
@@ -534,6 +633,7 @@
             revision: Rc::new(watch::channel(0).0),
             campaign: Rc::new(Notify::new()),
             reading: Rc::new(Notify::new()),
+            cancelled: Rc::new(Notify::new()),
             urgent: Rc::new(Notify::new()),
             logging: Rc::new(Notify::new()),
         };
@@ -554,6 +654,7 @@
         actix::spawn(s.clone().flush());
         actix::spawn(s.clone().fleet());
         actix::spawn(s.clone().peers());
+        actix::spawn(s.clone().tell_cancelled());
     }
 }
 
@@ -602,6 +703,14 @@
     }
 }
 
+impl Handler<PeerCancelled> for Node {
+    type Result = MessageResult<PeerCancelled>;
+    fn handle(&mut self, m: PeerCancelled, _: &mut Self::Context) -> Self::Result {
+        self.shared.urgent.notify_one();
+        MessageResult(self.shared.core.borrow_mut().take_cancelled(&m.0))
+    }
+}
+
 /// Runs a controller until its process ends.
 pub fn run(settings: Settings) -> std::io::Result<()> {
     let platform = settings.platform.clone();
--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -19,7 +19,7 @@
             let now = self.core.borrow().now();
             let (leads, typeless) = {
                 let core = self.core.borrow();
-                (core.reign().is_some() && core.right() == Right::Full && core.part.is_some(), core.types.is_empty())
+                (core.term().is_some() && core.right() == Right::Full && core.part.is_some(), core.types.is_empty())
             };
             if (leads || typeless) && types_at.is_none_or(|t| now > t + if typeless { 1000 } else { 20_000 }) {
                 types_at = Some(now);
@@ -64,7 +64,7 @@
     pub(super) async fn store_types(&self, types: Vec<MachineType>) {
         let (guards, same) = {
             let core = self.core.borrow();
-            let Some((_, epoch, _)) = core.reign() else { return };
+            let Some((_, epoch, _)) = core.term() else { return };
             let old = core.mirror.catalogue.as_ref();
             let shape = |l: &[MachineType]| {
                 l.iter().map(|t| (t.name.clone(), t.cpus as u64, t.zones.clone())).collect::<Vec<_>>()
@@ -177,7 +177,7 @@
     async fn take_in(&self, machine: String, Stranger { machine_type, zone, spot, ask }: Stranger) {
         let (token, epoch) = {
             let core = self.core.borrow();
-            let Some((number, version, _)) = core.reign() else { return };
+            let Some((number, version, _)) = core.term() else { return };
             let open =
                 core.mirror.hires.values().any(|h| {
                     h.record.machines.is_none() && h.record.machine_type == machine_type && h.record.zone == zone
@@ -199,7 +199,7 @@
         if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
             tracing::info!(%machine, "unexpected machine taken in");
             // Of another epoch this one knows from the store.
-            if self.core.borrow().reign().is_some_and(|(_, version, _)| version == epoch) {
+            if self.core.borrow().term().is_some_and(|(_, version, _)| version == epoch) {
                 self.add_machines(&record);
             }
         }
@@ -260,7 +260,7 @@
         let (name, record, epoch) = {
             let mut core = self.core.borrow_mut();
             core.hires += 1;
-            let Some((_, epoch, _)) = core.reign() else { return false };
+            let Some((_, epoch, _)) = core.term() else { return false };
             let Some(part) = core.part.as_ref() else { return false };
             let record = HireRecord {
                 machine_type: part.types()[offer.0].name.clone(),
@@ -279,7 +279,7 @@
 
     /// Calls the cloud for a stored request. True if its fate is known and stored.
     pub(super) async fn call_hire(&self, name: &str, mut record: HireRecord, version: u64) -> bool {
-        let Some((_, epoch, _)) = self.core.borrow().reign() else { return false };
+        let Some((_, epoch, _)) = self.core.borrow().term() else { return false };
         if self.core.borrow().right() != Right::Full {
             return false;
         }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Between two looks at whether the leader knows of a cancellation.
+const ACK_MS: u64 = 10;
+
 impl Shared {
     /// A final state read from the store; `Gone` if there is none.
     pub(super) async fn read_over(&self, id: &str) -> Result<OverRecord, StoreError> {
@@ -100,6 +103,24 @@
         }
     }
 
+    /// Waits until no start of a job can be sent any more whose cancellation is durable at a revision: until the leader
+    /// has been told, mostly milliseconds, or its right to start has surely ended without a word.
+    async fn stops_known(&self, revision: u64) {
+        let (begun, most) = {
+            let core = self.core.borrow();
+            (core.now(), (core.settings.operator.hold_s * 1000.0 * (1.0 + crate::leader::DRIFT)) as u64)
+        };
+        loop {
+            {
+                let core = self.core.borrow();
+                if core.stops_known(revision) || core.now() > begun + most {
+                    return;
+                }
+            }
+            pause(ACK_MS).await;
+        }
+    }
+
     pub(super) async fn abort(self, id: String) -> Answer {
         for _ in 0..3 {
             if let Some(over) = self.core.borrow().mirror.over(&id) {
@@ -118,8 +139,14 @@
             }
             let txn = store::abort_txn(&id, &live);
             match self.user_txn(&txn).await {
-                Ok(Decided::Applied(_)) => {
-                    self.core.borrow_mut().mirror.remember_over(&id, over);
+                Ok(Decided::Applied(revision)) => {
+                    {
+                        let mut core = self.core.borrow_mut();
+                        core.cancelled(&id, over.tasks);
+                        core.hints.add(&id, over.tasks, revision);
+                    }
+                    self.cancelled.notify_one();
+                    self.stops_known(revision).await;
                     return Answer::Job(200, over_view(&id, over));
                 }
                 Ok(Decided::Failed(_)) | Err(StoreError::Unknown) => match self.read_over(&id).await {
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -109,7 +109,7 @@
     /// Time between reports.
     pub report_ms: u64,
     /// How long an earlier leader may have renewed leases after its hold.
-    pub ride_ms: u64,
+    pub grace_ms: u64,
     /// Group factor.
     pub group_factor: f64,
     /// Fetch rate until measured.
@@ -138,7 +138,7 @@
             finish_ms,
             lease_ms: (w.lease_s * 1000.0) as u64,
             report_ms: (w.report_s * 1000.0) as u64,
-            ride_ms: s.ride_ms(),
+            grace_ms: s.grace_ms(),
             group_factor: s.operator.group_factor,
             fetch_gb_per_s: s.operator.fetch_gb_per_s,
             transfer_test: s.operator.transfer_test,
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -8,6 +8,10 @@
 /// Images remembered for a machine.
 const IMAGES: usize = 24;
 
+fn halt(line: &TaskReport) -> Order {
+    Order::Stop { task: line.task.clone(), attempt: line.attempt, grace_s: 0.0 }
+}
+
 impl Part {
     /// Takes in a report. `live`: it arrived as a report, so the answer renews the lease; otherwise it is the answer to
     /// a direct order. `start`: the node has the right to start tasks.
@@ -68,6 +72,13 @@
                 }
             }
         }
+        if r.token != token {
+            // Nothing is concluded from it, but what is there of a job that is over is stopped by the first answer: without
+            // this, a machine that hung or was cut off once it had its lease renewed went on with it for another lease.
+            orders.extend(r.tasks.iter().filter(|l| l.state != TaskState::Exited).filter(|l| self.over(l)).map(halt));
+        }
+        // Stops first: where there are more orders than fit, the rest is told next time.
+        orders.sort_by_key(|o| !matches!(o, Order::Stop { .. }));
         orders.truncate(ORDERS);
         // A copy of a direct start that was carried out may still come, and once its attempt is forgotten the worker would
         // start it anew. So what makes it forget also brings a higher token, which voids the copy; and nothing is forgotten
@@ -84,6 +95,13 @@
         Taken::Reply(ReportReply { token, orders })
     }
 
+    /// Whether a line belongs to a job of which nothing may run any more: one cancelled, or gone from the store before this
+    /// epoch began.
+    fn over(&self, line: &TaskReport) -> bool {
+        let job = split_task(&line.task).and_then(|(job, _)| self.job_index.get(job));
+        job.is_none_or(|j| self.job(*j).ended)
+    }
+
     /// The report is the newest under the current token: it is the truth about its machine, but for starts on their way:
     /// direct ones whose answer is still out, and, where the report is the answer to direct orders (not `live`), those in
     /// the response to a report, which the worker may not have received yet. Only its next report tells of these, since
--- a/src/part/starts.rs
+++ b/src/part/starts.rs
@@ -48,6 +48,8 @@
     pub version: u64,
     /// Its new contents.
     pub text: String,
+    /// Jobs of the new starts, with the versions of their records: they must be unfinished still.
+    pub jobs: Vec<(String, u64)>,
     lines: Vec<Line>,
     fresh: Vec<Line>,
 }
@@ -86,8 +88,9 @@
         job.and_then(|j| j.active.get(&l.task)).is_some_and(|a| a.attempt == l.attempt && a.machine == l.machine)
     }
 
-    /// The next write of the log, at most `limit` bytes long; none if no start waits for its line.
-    pub fn append(&mut self, limit: usize) -> Option<Append> {
+    /// The next write of the log, at most `limit` bytes long and of starts of at most `most` jobs; none if no start waits
+    /// for its line.
+    pub fn append(&mut self, limit: usize, most: usize) -> Option<Append> {
         let mut wanted = std::mem::take(&mut self.log.wanted);
         wanted.retain(|l| self.at_work(l));
         if wanted.is_empty() {
@@ -105,10 +108,22 @@
             None => (numbers.last().map_or(0, |n| n + 1), Vec::new()),
         };
         let version = self.log.slots.get(&slot).map_or(0, |s| s.version);
-        let (mut text, mut fresh) = (self.text(&lines), Vec::new());
+        let (mut text, mut fresh, mut jobs) = (self.text(&lines), Vec::new(), Vec::new());
         while !wanted.is_empty() && text.len() < limit {
             // As many as surely fit, then again with what is left.
-            let n = ((limit - text.len()) / 128).min(wanted.len());
+            let room = (limit - text.len()) / 128;
+            let mut n = 0;
+            for l in wanted.iter().take(room) {
+                // What a report has shown is there, whatever has become of its job; only a start needs its job.
+                let starts = self.job(l.job).active.get(&l.task).is_some_and(|a| a.phase == Phase::Assigned);
+                if starts && !jobs.contains(&l.job) {
+                    if jobs.len() == most {
+                        break;
+                    }
+                    jobs.push(l.job);
+                }
+                n += 1;
+            }
             if n == 0 {
                 break;
             }
@@ -117,7 +132,8 @@
             text = self.text(&lines);
         }
         self.log.wanted = wanted;
-        (!fresh.is_empty()).then_some(Append { slot, version, text, lines, fresh })
+        let jobs = jobs.into_iter().map(|j| (self.job(j).record.spec.id.clone(), self.job(j).version)).collect();
+        (!fresh.is_empty()).then_some(Append { slot, version, text, jobs, lines, fresh })
     }
 
     fn text(&self, lines: &[Line]) -> String {
@@ -170,7 +186,8 @@
 
     /// The epoch before kept no log: places nothing until every lease of it has surely run out or been renewed by this one.
     pub fn outwait(&mut self) {
-        self.place_from = self.now + self.p.ride_ms + self.p.lease_ms + (self.p.ride_ms + self.p.lease_ms) / 100 + 1000;
+        self.place_from =
+            self.now + self.p.grace_ms + self.p.lease_ms + (self.p.grace_ms + self.p.lease_ms) / 100 + 1000;
     }
 
     /// Takes in the log of earlier epochs, after the machines and jobs: each task's last line says where it may be.
@@ -217,7 +234,7 @@
                 self.step(j, t, Step::Stop { save: false });
             }
             // An earlier leader may have renewed its lease until its right to do so ended.
-            let until = self.now + self.p.ride_ms + self.p.ride_ms / 500;
+            let until = self.now + self.p.grace_ms + self.p.grace_ms / 500;
             let m = self.machine_mut(l.machine);
             m.contacted = true;
             m.last_answer = until;
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -4,7 +4,7 @@
 use crate::protocol::{JobSpec, Report, TaskReport, TaskState, Why};
 
 const LEASE: u64 = 12_000;
-const RIDE: u64 = 10_000;
+const GRACE: u64 = 10_000;
 
 /// A job like many.
 pub fn spec(id: &str, tasks: u32) -> JobSpec {
@@ -52,7 +52,7 @@
         let params = Params {
             lease_ms: LEASE,
             report_ms: 1500,
-            ride_ms: RIDE,
+            grace_ms: GRACE,
             group_factor: 1.25,
             fetch_gb_per_s: 0.1,
             transfer_test: true,
@@ -106,7 +106,7 @@
 
     /// Makes the lines of assigned starts durable.
     fn log(&mut self) {
-        while let Some(append) = self.part.append(8000) {
+        while let Some(append) = self.part.append(8000, 60) {
             self.part.appended(append, 200);
         }
     }
@@ -174,6 +174,15 @@
     }
 }
 
+/// A part with one start of `wk-1` that waits for its line, and the machine it is for.
+pub fn with_a_start_to_log(version: u64) -> (Part, &'static str) {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(spec("wk-1", 1), version);
+    w.part.place();
+    (w.part, "n-1")
+}
+
 /// The starts among orders.
 fn starts(orders: &[Order]) -> Vec<(String, u64)> {
     let start = |o: &Order| match o {
@@ -234,14 +243,14 @@
     w.machine("n-1", "a");
     w.job(spec("wk-1", 2), 101);
     w.part.place();
-    let first = w.part.append(8000).expect("two starts wait");
-    assert!(w.part.append(8000).is_none(), "their lines are being written");
+    let first = w.part.append(8000, 60).expect("two starts wait");
+    assert!(w.part.append(8000, 60).is_none(), "their lines are being written");
     let r = w.report("n-1", w.token(), &[]);
     assert_eq!(w.part.report(&r, true, true), Taken::Reply(ReportReply { token: w.token(), orders: vec![] }));
     assert!(w.part.direct(9).is_empty());
     // The write failed since the slot had changed: an earlier write without an answer had gone through after all.
     w.part.not_appended(first, Some((150, "n-1 - /wk-1 0.1")));
-    let again = w.part.append(8000).expect("they wait again");
+    let again = w.part.append(8000, 60).expect("they wait again");
     assert_eq!((again.slot, again.version), (0, 150));
     let text = again.text.clone();
     w.part.appended(again, 151);
@@ -255,9 +264,9 @@
     // What has ended is not carried over when its slot is taken again.
     let answer = w.report("n-1", w.token(), &[(&got[1].0, got[1].1, TaskState::Running, None)]);
     w.part.direct_answer(&sent[0], Some(&answer));
-    let third = w.part.append(8000).or_else(|| {
+    let third = w.part.append(8000, 60).or_else(|| {
         w.part.place();
-        w.part.append(8000)
+        w.part.append(8000, 60)
     });
     let third = third.expect("the lost task is started again");
     assert_eq!((third.slot, third.version), (0, 151));
@@ -265,18 +274,18 @@
 }
 
 #[test]
-fn an_heir_outwaits_lease_and_ride_of_a_machine_it_never_hears() {
+fn an_heir_outwaits_lease_and_grace_period_of_a_machine_it_never_hears() {
     let mut w = World::new();
     w.known("n-1");
     w.machine("n-9", "a");
     w.job(spec("wk-1", 1), 50);
     w.inherit(&[("n-1", "wk-1/0", 7)]);
-    // The earlier leader may have renewed its lease until RIDE after this epoch began.
+    // The earlier leader may have renewed its lease until GRACE after this epoch began.
     for (after, placed) in [(0, 0), (1000, 1)] {
         // A machine that is heard just now could take the task.
-        w.part.at(1000 + LEASE + RIDE + after);
+        w.part.at(1000 + LEASE + GRACE + after);
         w.tell("n-9", &[]);
-        w.tick(1000 + LEASE + RIDE + after);
+        w.tick(1000 + LEASE + GRACE + after);
         assert_eq!(starts(&w.tell("n-9", &[])).len(), placed);
     }
 }
@@ -1118,12 +1127,78 @@
     w.job(spec("wk-1", 1), 50);
     w.part.outwait();
     for (after, placed) in [(0, 0), (2000, 1)] {
-        w.part.at(1000 + LEASE + RIDE + after);
+        w.part.at(1000 + LEASE + GRACE + after);
         let mut got = starts(&w.tell("n-9", &[]));
-        w.tick(1000 + LEASE + RIDE + after);
+        w.tick(1000 + LEASE + GRACE + after);
         if got.is_empty() {
             got = starts(&w.tell("n-9", &[]));
         }
         assert_eq!(got.len(), placed);
     }
 }
+
+#[test]
+fn of_a_job_that_is_over_in_the_store_nothing_is_logged_and_so_nothing_sent() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(spec("wk-1", 1), 101);
+    w.job(spec("wk-2", 1), 102);
+    w.part.place();
+    let append = w.part.append(8000, 60).unwrap();
+    assert_eq!(append.jobs, vec![("wk-1".to_string(), 101), ("wk-2".to_string(), 102)]);
+    // Another node has confirmed the cancellation of one, which this one's mirror does not show yet: the write is refused,
+    // and says why.
+    w.part.drop_job("wk-1");
+    w.part.not_appended(append, None);
+    let again = w.part.append(8000, 60).unwrap();
+    assert_eq!(again.jobs, vec![("wk-2".to_string(), 102)]);
+    assert!(!again.text.contains("wk-1"));
+    w.part.appended(again, 200);
+    let sent = w.part.direct(9);
+    assert_eq!(starts(&sent[0].orders).len(), 1);
+    assert_eq!(starts(&sent[0].orders)[0].0, "wk-2/0");
+}
+
+#[test]
+fn a_write_of_the_log_names_no_more_jobs_than_the_store_takes_conditions() {
+    let mut w = World::new();
+    (0..5).for_each(|n| w.machine(&format!("n-{n}"), "a"));
+    (0..5).for_each(|n| w.job(spec(&format!("wk-{n}"), 2), 100 + n));
+    w.part.place();
+    let mut written = Vec::new();
+    while let Some(a) = w.part.append(8000, 2) {
+        assert!(a.jobs.len() <= 2);
+        written.extend(a.jobs.iter().map(|(id, _)| id.clone()));
+        w.part.appended(a, 200 + written.len() as u64);
+    }
+    written.sort();
+    written.dedup();
+    assert_eq!(written.len(), 5);
+}
+
+#[test]
+fn an_heirs_first_answer_already_stops_what_is_cancelled() {
+    let mut w = World::new();
+    w.known("n-1");
+    w.part.add_job(LiveRecord { spec: spec("wk-1", 2), at_ms: 0 }, 101, &[], 0, true);
+    w.job(spec("wk-2", 1), 102);
+    w.inherit(&[("n-1", "wk-1/0", 71), ("n-1", "wk-2/0", 72)]);
+    // The worker still shows the token of an earlier epoch: nothing is concluded, but the cancelled task is stopped, and
+    // what belongs to no job of the store any more. A machine that hangs after its lease was renewed keeps neither.
+    let (run, done) = (TaskState::Running, TaskState::Exited);
+    let lines =
+        [("wk-1/0", 71, run, None), ("wk-2/0", 72, run, None), ("wk-9/0", 7, run, None), ("wk-1/1", 70, done, None)];
+    let r = w.report("n-1", 4 << TOKEN_BITS, &lines);
+    let Taken::Reply(reply) = w.part.report(&r, true, false) else { panic!() };
+    let stopped: Vec<&str> = reply
+        .orders
+        .iter()
+        .map(|o| match o {
+            Order::Stop { task, grace_s, .. } if *grace_s == 0.0 => task.as_str(),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(stopped, ["wk-1/0", "wk-9/0"]);
+    // It counts until it is gone.
+    assert_eq!(w.part.team_use[0][0], 4000);
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,9 +1,12 @@
 //! What the controllers tell each other, as bincode.
 
+#[cfg(test)]
+mod tests;
+
 use crate::worker::exchange;
 use awc::http::Method;
-use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,12 +20,63 @@
     pub node: String,
     /// Number of the newest epoch it has seen.
     pub epoch: u64,
+    /// How far its mirror of the store is.
+    pub revision: u64,
     /// Whether the state service answers it.
     pub state_ok: bool,
     /// If it leads: done and running tasks of every job, for display.
     pub counts: Option<Vec<(String, u32, u32)>>,
 }
 
+/// Cancellations that are durable: jobs and their numbers of tasks. Such a word can only stop, never start anything, and
+/// losing it costs nothing but time.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cancelled {
+    /// Jobs.
+    pub jobs: Vec<(String, u32)>,
+}
+
+/// Most cancellations kept for others that have not been told; the rest they learn from the store.
+const HINTS: usize = 1000;
+
+/// What this node has to tell of its users' cancellations, and which of the others know.
+#[derive(Debug, Default)]
+pub struct Hints {
+    /// Job, tasks, revision of the cancellation, the oldest first.
+    jobs: VecDeque<(String, u32, u64)>,
+    /// Up to which revision each of the others knows.
+    known: HashMap<String, u64>,
+}
+
+impl Hints {
+    /// A cancellation became durable at a revision.
+    pub fn add(&mut self, job: &str, tasks: u32, revision: u64) {
+        self.jobs.push_back((job.to_string(), tasks, revision));
+        if self.jobs.len() > HINTS {
+            self.jobs.pop_front();
+        }
+    }
+
+    /// What a node has yet to be told, and up to which revision it knows then.
+    pub fn unknown_to(&self, node: &str) -> Option<(Vec<(String, u32)>, u64)> {
+        let known = self.known_by(node);
+        let some: Vec<_> = self.jobs.iter().filter(|(.., revision)| *revision > known).collect();
+        let last = some.iter().map(|(.., revision)| *revision).max()?;
+        Some((some.into_iter().map(|(job, tasks, _)| (job.clone(), *tasks)).collect(), last))
+    }
+
+    /// A node knows of all cancellations up to a revision: it was told, or its mirror is there.
+    pub fn acknowledged(&mut self, node: &str, revision: u64) {
+        let known = self.known.entry(node.to_string()).or_default();
+        *known = revision.max(*known);
+    }
+
+    /// Up to which revision a node knows.
+    pub fn known_by(&self, node: &str) -> u64 {
+        self.known.get(node).copied().unwrap_or(0)
+    }
+}
+
 /// A node that reaches no other for so long, nor is refused by one, is apart.
 const APART_MS: u64 = 5000;
 /// How long another's word counts.
@@ -56,51 +110,27 @@
 }
 
 /// Decodes a message.
-pub fn decode(body: &[u8]) -> Option<View> {
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
     (body.len() <= LIMIT).then(|| bincode::deserialize(body).ok())?
 }
 
 /// Encodes a message.
-pub fn encode(view: &View) -> Vec<u8> {
-    bincode::serialize(view).unwrap_or_default()
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    bincode::serialize(message).unwrap_or_default()
 }
 
 /// Exchanges views with a peer.
 pub async fn ask(http: &awc::Client, addr: SocketAddr, own: &View) -> Option<View> {
-    let url = format!("http://{addr}/peer/view");
-    let (status, body) =
-        exchange(http, Method::POST, &url, Some(encode(own)), Duration::from_secs(1), LIMIT, false).await?;
-    if status == 200 {
-        decode(&body)
-    } else {
-        None
-    }
+    post(http, format!("http://{addr}/peer/view"), own).await
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_node_without_the_store_knows_whether_it_is_alone_with_that() {
-        let mut o = Others::default();
-        // An outage: the others are in the same case, or their connections are refused.
-        o.told("b".into(), false, 1000);
-        assert!(!o.alone(5000));
-        o.refused(6000);
-        assert!(!o.alone(10_000));
-        // The store answers another one.
-        o.told("c".into(), true, 10_000);
-        assert!(o.alone(11_000) && !o.alone(14_000));
-        // Cut off from all of them: a node like that kept its users, who were answered 503 for as long as it lasted.
-        assert!(o.alone(16_000));
-    }
+/// Tells a peer of cancellations; how far its mirror is.
+pub async fn tell_cancelled(http: &awc::Client, addr: SocketAddr, told: &Cancelled) -> Option<u64> {
+    post(http, format!("http://{addr}/peer/cancelled"), told).await
+}
 
-    #[test]
-    fn garbage_is_no_view() {
-        let v = View { node: "a".into(), epoch: 4, state_ok: true, counts: Some(vec![("wk-1".into(), 1, 2)]) };
-        assert_eq!(decode(&encode(&v)).unwrap().counts, v.counts);
-        assert!(decode(&[255; 40]).is_none());
-        assert!(decode(&[]).is_none());
-    }
+async fn post<T: Serialize, R: DeserializeOwned>(http: &awc::Client, url: String, message: &T) -> Option<R> {
+    let within = Duration::from_secs(1);
+    let (status, body) = exchange(http, Method::POST, &url, Some(encode(message)), within, LIMIT, false).await?;
+    (status == 200).then(|| decode(&body))?
 }
--- /dev/null
+++ b/src/peer/tests.rs
@@ -0,0 +1,49 @@
+//! What a node knows of the others.
+
+use super::*;
+
+#[test]
+fn a_node_without_the_store_knows_whether_it_is_alone_with_that() {
+    let mut o = Others::default();
+    // An outage: the others are in the same case, or their connections are refused.
+    o.told("b".into(), false, 1000);
+    assert!(!o.alone(5000));
+    o.refused(6000);
+    assert!(!o.alone(10_000));
+    // The store answers another one.
+    o.told("c".into(), true, 10_000);
+    assert!(o.alone(11_000) && !o.alone(14_000));
+    // Cut off from all of them: a node like that kept its users, who were answered 503 for as long as it lasted.
+    assert!(o.alone(16_000));
+}
+
+#[test]
+fn garbage_is_no_view() {
+    let v = View { node: "a".into(), epoch: 4, revision: 8, state_ok: true, counts: Some(vec![("wk-1".into(), 1, 2)]) };
+    assert_eq!(decode::<View>(&encode(&v)).unwrap().counts, v.counts);
+    assert!(decode::<View>(&[255; 40]).is_none());
+    assert!(decode::<View>(&[]).is_none());
+    let told = Cancelled { jobs: vec![("wk-1".into(), 3)] };
+    assert_eq!(decode::<Cancelled>(&encode(&told)).unwrap(), told);
+    assert!(decode::<Cancelled>(&[255; 40]).is_none());
+}
+
+#[test]
+fn a_cancellation_is_told_until_the_other_knows() {
+    let mut h = Hints::default();
+    assert!(h.unknown_to("b").is_none());
+    h.add("wk-1", 3, 40);
+    h.add("wk-2", 5, 42);
+    let (jobs, upto) = h.unknown_to("b").unwrap();
+    assert_eq!((jobs.len(), upto), (2, 42));
+    // Its mirror has seen the first; a word of less takes nothing back.
+    h.acknowledged("b", 41);
+    h.acknowledged("b", 7);
+    assert_eq!(h.unknown_to("b").unwrap().0, vec![("wk-2".to_string(), 5)]);
+    h.acknowledged("b", upto);
+    assert!(h.unknown_to("b").is_none() && h.known_by("b") == 42);
+    assert_eq!(h.unknown_to("c").unwrap().0.len(), 2);
+    // One that is never reached costs bounded memory.
+    (0..5000).for_each(|n| h.add("wk-3", 1, 100 + n));
+    assert_eq!(h.unknown_to("c").unwrap().0.len(), HINTS);
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -2,6 +2,7 @@
 //!
 //! Keys live below one root so that several tenants can have one each later.
 
+use crate::part::Append;
 use crate::protocol::{self as wire, Change, Event, Guard, Item, JobSpec, MachineType, Txn};
 use ciborium::Value;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
@@ -31,6 +32,10 @@
 pub fn live_key(job: &str) -> String {
     format!("{ROOT}live/{job}")
 }
+/// The unfinished job whose key this is.
+pub fn live_job(key: &str) -> Option<&str> {
+    key.strip_prefix(ROOT)?.strip_prefix("live/")
+}
 /// Key of a cancelled job of which tasks may still be somewhere.
 pub fn stopping_key(job: &str) -> String {
     format!("{ROOT}stopping/{job}")
@@ -409,6 +414,15 @@
     Txn { guards: vec![epoch.clone(), guard(key, version)], apply: vec![change] }
 }
 
+/// Makes starts durable in a slot of the start log, in the leader's epoch, and only while each of their jobs is unfinished:
+/// of a job whose cancellation is durable nothing is logged any more, and so nothing sent.
+pub fn log_txn(epoch: &Guard, append: &Append) -> Txn {
+    let key = starts_key(append.slot);
+    let mut guards = vec![epoch.clone(), guard(key.clone(), append.version)];
+    guards.extend(append.jobs.iter().map(|(id, version)| guard(live_key(id), *version)));
+    Txn { guards, apply: vec![put(key, &append.text, None)] }
+}
+
 /// How a call to the state service can end without an answer to rely on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -649,6 +663,21 @@
         assert!(s.has(over_key("wk-1")) && s.has(stopping_key("wk-1")) && !s.has(live_key("wk-1")));
     }
 
+    #[test]
+    fn the_start_log_takes_no_start_of_a_job_whose_cancellation_is_durable() {
+        let record = LiveRecord { spec: crate::part::tests::spec("wk-1", 1), at_ms: 5 };
+        let mut s = Service::default();
+        s.run(&Txn { guards: vec![], apply: vec![put(epoch_key(), &1, None)] });
+        s.run(&submit_txn("wk-1", &record));
+        let live = Versioned { record, version: s.revision };
+        let (mut w, _) = crate::part::tests::with_a_start_to_log(live.version);
+        let txn = log_txn(&guard(epoch_key(), 1), &w.append(8000, 60).unwrap());
+        assert!(s.run(&abort_txn("wk-1", &live)));
+        assert!(!s.run(&txn) && !s.has(starts_key(0)));
+        assert_eq!(live_job(&live_key("wk-1")), Some("wk-1"));
+        assert_eq!(live_job(&over_key("wk-1")), None);
+    }
+
     #[test]
     fn a_leader_of_an_earlier_epoch_writes_nothing() {
         let record = LiveRecord { spec: crate::part::tests::spec("wk-2", 1), at_ms: 5 };
