Controllers in a scripted world: every meeting of two troubles, and random schedules of them

What a node decides is now a module without I/O (node::core, node::books), so that tests drive whole controllers with a scripted store, workers, cloud and users under a fake clock, and check all rules after each step.

A machine that reached no controller began a new session, which a probe told; it got work by direct orders there and was taken for outwaited by the lease of the session before, though a session has its full lease from its beginning, answered or not.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -102,6 +102,14 @@
         &self.role
     }
 
+    /// Number, version of the epoch key and hold, while leading.
+    pub fn term(&self) -> Option<(u64, u64, u64)> {
+        match self.role {
+            Role::Leading { epoch, version, hold } => Some((epoch, version, hold)),
+            _ => None,
+        }
+    }
+
     /// The one place where the role changes. True if it did.
     pub fn apply(&mut self, event: Event) -> bool {
         let next = match (&self.role, event) {
--- /dev/null
+++ b/src/node/core.rs
@@ -0,0 +1,385 @@
+//! What a node knows and decides, without I/O: the loops of this module's siblings carry out what it asks for, and the
+//! tests drive it with a scripted store, workers and peers.
+
+use super::*;
+
+/// Most machines in no hire that are looked at at a time.
+pub(super) const STRANGERS: usize = 1000;
+/// Time between looks at what time alone brings.
+pub(super) const TICK_MS: u64 = 100;
+/// Least time between two rounds of placing and sending.
+pub(super) const PASS_MS: u64 = 20;
+/// Time between rounds of durable writes of the leader.
+pub(super) const FLUSH_MS: u64 = 500;
+
+/// Where the time comes from.
+pub(super) enum Clock {
+    /// The steady clock and the time of day.
+    Steady(Instant),
+    /// A test's.
+    #[cfg(test)]
+    Scripted(Rc<Cell<u64>>),
+}
+
+/// When the leader's next round of each kind is due.
+#[derive(Default)]
+pub(super) struct Due {
+    pub(super) tick: u64,
+    pub(super) reconsider: u64,
+    pub(super) place: u64,
+}
+
+/// What a leader's round brings.
+pub(super) enum Pass {
+    /// Nothing may be sent.
+    Nothing,
+    /// Messages for workers.
+    Sends(Vec<Direct>),
+    /// No worker is heard: leadership is to be given up.
+    GiveUp,
+}
+
+/// Number, version of the epoch key and hold of a term.
+pub(super) type Term = (u64, u64, u64);
+
+/// A machine in no hire.
+pub(super) struct Stranger {
+    pub(super) machine_type: String,
+    pub(super) zone: String,
+    pub(super) spot: bool,
+    /// Its worker's address and session, if it is known by a report only: that may be a late copy, long after the
+    /// machine was released, so that the worker is asked first.
+    pub(super) ask: Option<(String, u64)>,
+}
+
+/// What the loops share; borrowed for short moments only, never across a wait.
+pub(super) struct Core {
+    pub(super) settings: Settings,
+    pub(super) clock: Clock,
+    pub(super) me: LeaderRecord,
+    pub(super) mirror: Mirror,
+    pub(super) lead: Leadership,
+    pub(super) part: Option<Part>,
+    pub(super) fleet: Fleet,
+    pub(super) types: Vec<MachineType>,
+    pub(super) counts: HashMap<String, (u32, u32)>,
+    pub(super) others: Others,
+    pub(super) hints: Hints,
+    pub(super) newest_epoch: u64,
+    pub(super) state_ok_at: u64,
+    pub(super) no_campaign_until: u64,
+    pub(super) leads_since: u64,
+    /// The epoch before this node's own kept no start log.
+    pub(super) unlogged: bool,
+    pub(super) released: HashMap<String, u64>,
+    pub(super) gone: HashSet<String>,
+    pub(super) strangers: BTreeMap<String, Stranger>,
+    pub(super) hires: u64,
+    pub(super) readers: Vec<oneshot::Sender<u64>>,
+    pub(super) pacer: Pacer,
+    pub(super) due: Due,
+}
+
+impl Core {
+    /// A node that has yet to read the store.
+    pub(super) fn new(settings: Settings, incarnation: u64, clock: Clock) -> Core {
+        let me = LeaderRecord { node: settings.platform.node.clone(), incarnation };
+        let ttl = (settings.operator.hold_s * 1000.0) as u64;
+        let state = &settings.platform.deployment.state;
+        // Users get at most two thirds of the changes; the rest is for the leader's books.
+        let user_changes = state.write_rps * 2.0 / 3.0 / (settings.platform.peers.len() + 1) as f64;
+        Core {
+            lead: Leadership::new(ttl, settings.grace_ms()),
+            settings,
+            clock,
+            me,
+            mirror: Mirror::default(),
+            part: None,
+            fleet: Fleet::default(),
+            types: Vec::new(),
+            counts: HashMap::new(),
+            others: Others::default(),
+            hints: Hints::default(),
+            newest_epoch: 0,
+            state_ok_at: 0,
+            no_campaign_until: 0,
+            leads_since: 0,
+            unlogged: false,
+            released: HashMap::new(),
+            gone: HashSet::new(),
+            strangers: BTreeMap::new(),
+            hires: 0,
+            readers: Vec::new(),
+            pacer: Pacer::new(user_changes),
+            due: Due::default(),
+        }
+    }
+
+    /// Milliseconds of this node's steady clock.
+    pub(super) fn now(&self) -> u64 {
+        match &self.clock {
+            Clock::Steady(begun) => begun.elapsed().as_millis() as u64 + 1000,
+            #[cfg(test)]
+            Clock::Scripted(now) => now.get(),
+        }
+    }
+
+    /// Milliseconds of the time of day.
+    pub(super) fn wall(&self) -> u64 {
+        match &self.clock {
+            Clock::Steady(_) => SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64),
+            #[cfg(test)]
+            Clock::Scripted(now) => now.get(),
+        }
+    }
+
+    pub(super) fn right(&self) -> Right {
+        self.lead.right(self.now())
+    }
+
+    /// Number, version of the epoch key and hold, while leading.
+    pub(super) fn term(&self) -> Option<Term> {
+        self.lead.term()
+    }
+
+    pub(super) fn free_to_claim(&self) -> bool {
+        self.mirror.free_to_claim(&self.me)
+    }
+
+    pub(super) fn lead_event(&mut self, event: Event) {
+        if self.lead.apply(event) && self.term().is_none() {
+            self.part = None;
+            self.strangers.clear();
+            self.gone.clear();
+        }
+    }
+
+    pub(super) fn take_types(&mut self, types: &[MachineType]) {
+        self.types = types.to_vec();
+        if let Some(p) = &mut self.part {
+            p.set_types(types);
+        }
+    }
+
+    /// The mirror was read anew. True if the leader's key went away.
+    pub(super) fn loaded(&mut self, fresh: Mirror) -> bool {
+        let seen = self.mirror.replace(fresh);
+        self.mirrored(seen)
+    }
+
+    /// A watch was answered. True if the leader's key went away.
+    pub(super) fn watched(&mut self, revision: u64, events: &[wire::Event]) -> bool {
+        let seen = self.mirror.apply(revision, events);
+        self.mirrored(seen)
+    }
+
+    fn mirrored(&mut self, seen: Vec<Seen>) -> bool {
+        // What has changed is in the part before any right follows from it.
+        let vacant = self.seen(seen);
+        let revision = self.mirror.revision;
+        self.lead_event(Event::Mirrored(revision));
+        vacant
+    }
+
+    /// Takes in what has changed in the mirror. True if the leader's key went away.
+    fn seen(&mut self, seen: Vec<Seen>) -> bool {
+        let mut vacant = false;
+        let wall = self.wall();
+        let now = self.now();
+        for s in seen {
+            match s {
+                Seen::Job(id) => {
+                    let (Some(part), Some(v)) = (self.part.as_mut(), self.mirror.live.get(&id)) else { continue };
+                    // Another's word of its cancellation may be here before the mirror has seen it come and go.
+                    if self.mirror.over(&id).is_some() {
+                        continue;
+                    }
+                    part.at(now);
+                    let done = done_rows(&self.mirror, &id);
+                    part.add_job(v.record.clone(), v.version, &done, wall, false);
+                }
+                Seen::JobGone(id) => {
+                    self.counts.remove(&id);
+                    if let Some(part) = self.part.as_mut() {
+                        part.at(now);
+                        part.drop_job(&id);
+                    }
+                }
+                Seen::LeaderGone => vacant = true,
+                Seen::Catalogue => {
+                    if let Some(c) = &self.mirror.catalogue {
+                        let types = c.record.clone();
+                        self.take_types(&types);
+                    }
+                }
+            }
+        }
+        let number = self.mirror.epoch.as_ref().map_or(0, |e| e.record.number);
+        self.newest_epoch = self.newest_epoch.max(number);
+        if self.term().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
+            self.lead_event(Event::Ended);
+        }
+        vacant
+    }
+
+    /// Builds the part of a new epoch from the store.
+    pub(super) fn rebuild(&mut self, epoch: u64) {
+        let (now, wall) = (self.now(), self.wall());
+        let mut part = Part::new(Params::new(&self.settings), epoch, now);
+        part.set_types(&self.types);
+        for h in self.mirror.hires.values() {
+            let h = &h.record;
+            for machine in h.machines.iter().flatten() {
+                part.add_machine(machine, (&h.machine_type, &h.zone, h.spot), false);
+            }
+        }
+        for (id, v) in &self.mirror.live {
+            let ended = self.mirror.over(id).is_some();
+            part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, ended);
+        }
+        for (id, v) in &self.mirror.stopping {
+            part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, true);
+        }
+        part.inherit(self.mirror.starts.iter().map(|(slot, v)| (*slot, v.version, v.record.as_str())));
+        if self.unlogged {
+            part.outwait();
+        }
+        self.leads_since = now;
+        let (jobs, hires) = (self.mirror.live.len(), self.mirror.hires.len());
+        tracing::info!(epoch, jobs, hires, unsettled = part.unsettled(), "epoch begins");
+        self.part = Some(part);
+    }
+
+    pub(super) fn view(&self, id: &str) -> Option<JobView> {
+        if let Some(over) = self.mirror.over(id) {
+            return Some(over_view(id, over));
+        }
+        let counts = self.part.as_ref().and_then(|p| p.counts(id)).or(self.counts.get(id).copied());
+        self.mirror.live.get(id)?;
+        let (done, running) = counts.unwrap_or_default();
+        let state = if running > 0 { JobState::Running } else { JobState::Queued };
+        Some(JobView { id: id.into(), state, done: Some(done), running: Some(running) })
+    }
+
+    pub(super) fn own_view(&self) -> View {
+        let counts = self.part.as_ref().filter(|_| self.right() != Right::None).map(|p| p.all_counts());
+        let (node, revision) = (self.me.node.clone(), self.mirror.revision);
+        View { node, epoch: self.newest_epoch, revision, state_ok: self.state_ok(), counts }
+    }
+
+    pub(super) fn state_ok(&self) -> bool {
+        self.now() < self.state_ok_at + 2500
+    }
+
+    pub(super) fn take_view(&mut self, v: View) {
+        let now = self.now();
+        if v.epoch > self.newest_epoch {
+            self.newest_epoch = v.epoch;
+        }
+        if self.term().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
+            self.lead_event(Event::Ended);
+        }
+        if let Some(counts) = v.counts.filter(|_| self.part.is_none() && v.epoch >= self.newest_epoch) {
+            self.counts = counts.into_iter().map(|(id, done, running)| (id, (done, running))).collect();
+        }
+        self.hints.acknowledged(&v.node, v.revision);
+        self.others.told(v.node, v.state_ok, now);
+    }
+
+    /// A cancellation is known to be durable, perhaps sooner than the mirror shows it: what runs of the job is stopped,
+    /// nothing of it is started or believed to be done any more.
+    pub(super) fn cancelled(&mut self, id: &str, tasks: u32) {
+        let now = self.now();
+        self.mirror.remember_over(id, OverRecord { cancelled: true, tasks });
+        if let Some(part) = self.part.as_mut() {
+            part.at(now);
+            part.drop_job(id);
+        }
+    }
+
+    /// Another node's word of cancellations; tells how far this one's mirror is.
+    pub(super) fn take_cancelled(&mut self, told: &Cancelled) -> u64 {
+        for (id, tasks) in told.jobs.iter().filter(|(id, _)| wire::job_id(id)) {
+            self.cancelled(id, *tasks);
+        }
+        self.mirror.revision
+    }
+
+    /// Whether no leader can start anything any more of a job whose cancellation is durable at a revision: the leader of
+    /// then has been told, or its hold has ended. A later one has read the store since.
+    pub(super) fn stops_known(&self, revision: u64) -> bool {
+        let Some(leader) = self.mirror.leader.as_ref() else { return self.mirror.revision >= revision };
+        self.mirror.revision >= revision
+            && (leader.record == self.me
+                || leader.version > revision
+                || self.hints.known_by(&leader.record.node) >= revision)
+    }
+
+    /// Whether this node should get users: it is loaded, and if the state service does not answer it, then not it alone.
+    /// A node that had lost the service and the others kept its users, and with its few connections was given more.
+    pub(super) fn healthy(&self) -> bool {
+        let alone = !self.settings.platform.peers.is_empty() && self.others.alone(self.now());
+        self.mirror.loaded && !self.types.is_empty() && (self.state_ok() || !alone)
+    }
+
+    pub(super) fn report(&mut self, r: &Report) -> WorkerAnswer {
+        let now = self.now();
+        let right = self.right();
+        let leader = self.mirror.leader.as_ref().map(|l| l.record.node.clone());
+        let elsewhere = |l: Option<String>, me: &str| match l.filter(|l| l != me) {
+            Some(l) => WorkerAnswer::Elsewhere(Some(l)),
+            None => WorkerAnswer::Later,
+        };
+        if right == Right::None {
+            return elsewhere(leader, &self.me.node);
+        }
+        let Some(part) = self.part.as_mut() else { return WorkerAnswer::Later };
+        part.at(now);
+        match part.report(r, true, right == Right::Full) {
+            Taken::Reply(reply) => WorkerAnswer::Reply(reply),
+            Taken::Superseded => {
+                self.lead_event(Event::Ended);
+                WorkerAnswer::Later
+            }
+            Taken::Stranger => {
+                if !self.released.contains_key(&r.machine) && self.strangers.len() < STRANGERS {
+                    let (machine_type, zone) = (r.machine_type.clone(), r.zone.clone());
+                    let ask = Some((r.address.clone(), r.session));
+                    self.strangers.insert(r.machine.clone(), Stranger { machine_type, zone, spot: r.spot, ask });
+                }
+                WorkerAnswer::Later
+            }
+        }
+    }
+
+    /// The checks behind a 422.
+    pub(super) fn impossible(&self, s: &JobSpec) -> Option<&'static str> {
+        let Some(team) = self.settings.platform.deployment.teams.iter().find(|t| t.name == s.team) else {
+            return Some("unknown team");
+        };
+        let fits = self.types.iter().any(|t| {
+            s.types.as_ref().is_none_or(|l| l.contains(&t.name))
+                && s.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                && s.cpus <= t.cpus
+                && s.gpus <= t.gpus
+                && s.memory_gb <= t.memory_gb
+        });
+        if !fits {
+            return Some("no allowed machine type is large enough");
+        }
+        let at_once = if s.kind == Kind::Array { 1.0 } else { s.tasks as f64 };
+        let over = |each: f64, most: f64| most > 0.0 && each * at_once > most + 1e-9;
+        (over(s.cpus, team.cpus_max) || over(s.gpus, team.gpus_max)).then_some("more than the team's limit")
+    }
+}
+
+pub(super) fn done_rows(mirror: &Mirror, job: &str) -> Vec<(u32, Vec<u8>)> {
+    let from = (job.to_string(), 0);
+    let rows = mirror.done.range(from..).take_while(|((j, _), _)| j == job);
+    rows.map(|((_, chunk), v)| (*chunk, v.record.clone())).collect()
+}
+
+pub(super) fn over_view(id: &str, over: OverRecord) -> JobView {
+    let (state, done) = if over.cancelled { (JobState::Cancelled, 0) } else { (JobState::Done, over.tasks) };
+    JobView { id: id.into(), state, done: Some(done), running: Some(0) }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,13 +1,18 @@
 //! A controller: the actor that joins the pure parts to the state service, the cloud, the workers and the users.
 
+mod books;
+mod core;
 mod leading;
 mod renting;
+#[cfg(test)]
+mod tests;
 mod users;
 
+use self::core::{over_view, Clock, Core, Pass, Stranger, FLUSH_MS, PASS_MS, STRANGERS, TICK_MS};
 use crate::cloud::{CloudClient, Rented, RELEASE_MOST};
 use crate::config::Settings;
 use crate::fleet::{Fleet, Offer};
-use crate::leader::{Event, Leadership, Right, Role};
+use crate::leader::{Event, Leadership, Right};
 use crate::pacer::Pacer;
 use crate::part::{Direct, MachineState, Params, Part, Taken};
 use crate::peer::{self, Cancelled, Hints, Others, View};
@@ -80,289 +85,9 @@
     Later,
 }
 
-/// Most machines in no hire that are looked at at a time.
-const STRANGERS: usize = 1000;
-
 /// A connection that fails sooner was refused.
 const REFUSED_MS: u128 = 500;
 
-/// A machine in no hire.
-struct Stranger {
-    machine_type: String,
-    zone: String,
-    spot: bool,
-    /// Its worker's address and session, if it is known by a report only: that may be a late copy, long after the
-    /// machine was released, so that the worker is asked first.
-    ask: Option<(String, u64)>,
-}
-
-/// What the loops share; borrowed for short moments only, never across a wait.
-struct Core {
-    settings: Settings,
-    begun: Instant,
-    me: LeaderRecord,
-    mirror: Mirror,
-    lead: Leadership,
-    part: Option<Part>,
-    fleet: Fleet,
-    types: Vec<MachineType>,
-    counts: HashMap<String, (u32, u32)>,
-    others: Others,
-    hints: Hints,
-    newest_epoch: u64,
-    state_ok_at: u64,
-    no_campaign_until: u64,
-    leads_since: u64,
-    /// The epoch before this node's own kept no start log.
-    unlogged: bool,
-    released: HashMap<String, u64>,
-    gone: HashSet<String>,
-    strangers: BTreeMap<String, Stranger>,
-    hires: u64,
-    readers: Vec<oneshot::Sender<u64>>,
-    pacer: Pacer,
-}
-
-impl Core {
-    fn now(&self) -> u64 {
-        self.begun.elapsed().as_millis() as u64 + 1000
-    }
-
-    fn wall(&self) -> u64 {
-        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
-    }
-
-    fn right(&self) -> Right {
-        self.lead.right(self.now())
-    }
-
-    /// Number, version of the epoch key and hold, while leading.
-    fn term(&self) -> Option<(u64, u64, u64)> {
-        match *self.lead.role() {
-            Role::Leading { epoch, version, hold } => Some((epoch, version, hold)),
-            _ => None,
-        }
-    }
-
-    fn free_to_claim(&self) -> bool {
-        self.mirror.free_to_claim(&self.me)
-    }
-
-    fn lead_event(&mut self, event: Event) {
-        if self.lead.apply(event) && self.term().is_none() {
-            self.part = None;
-            self.strangers.clear();
-            self.gone.clear();
-        }
-    }
-
-    fn take_types(&mut self, types: &[MachineType]) {
-        self.types = types.to_vec();
-        if let Some(p) = &mut self.part {
-            p.set_types(types);
-        }
-    }
-
-    fn seen(&mut self, seen: Vec<Seen>, retry: &Notify) {
-        let wall = self.wall();
-        let now = self.now();
-        for s in seen {
-            match s {
-                Seen::Job(id) => {
-                    let (Some(part), Some(v)) = (self.part.as_mut(), self.mirror.live.get(&id)) else { continue };
-                    // Another's word of its cancellation may be here before the mirror has seen it come and go.
-                    if self.mirror.over(&id).is_some() {
-                        continue;
-                    }
-                    part.at(now);
-                    let done = done_rows(&self.mirror, &id);
-                    part.add_job(v.record.clone(), v.version, &done, wall, false);
-                }
-                Seen::JobGone(id) => {
-                    self.counts.remove(&id);
-                    if let Some(part) = self.part.as_mut() {
-                        part.at(now);
-                        part.drop_job(&id);
-                    }
-                }
-                Seen::LeaderGone => retry.notify_one(),
-                Seen::Catalogue => {
-                    if let Some(c) = &self.mirror.catalogue {
-                        let types = c.record.clone();
-                        self.take_types(&types);
-                    }
-                }
-            }
-        }
-        let number = self.mirror.epoch.as_ref().map_or(0, |e| e.record.number);
-        self.newest_epoch = self.newest_epoch.max(number);
-        if self.term().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
-            self.lead_event(Event::Ended);
-        }
-    }
-
-    /// Builds the part of a new epoch from the store.
-    fn rebuild(&mut self, epoch: u64) {
-        let (now, wall) = (self.now(), self.wall());
-        let mut part = Part::new(Params::new(&self.settings), epoch, now);
-        part.set_types(&self.types);
-        for h in self.mirror.hires.values() {
-            let h = &h.record;
-            for machine in h.machines.iter().flatten() {
-                part.add_machine(machine, (&h.machine_type, &h.zone, h.spot), false);
-            }
-        }
-        for (id, v) in &self.mirror.live {
-            let ended = self.mirror.over(id).is_some();
-            part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, ended);
-        }
-        for (id, v) in &self.mirror.stopping {
-            part.add_job(v.record.clone(), v.version, &done_rows(&self.mirror, id), wall, true);
-        }
-        part.inherit(self.mirror.starts.iter().map(|(slot, v)| (*slot, v.version, v.record.as_str())));
-        if self.unlogged {
-            part.outwait();
-        }
-        self.leads_since = now;
-        let (jobs, hires) = (self.mirror.live.len(), self.mirror.hires.len());
-        tracing::info!(epoch, jobs, hires, unsettled = part.unsettled(), "epoch begins");
-        self.part = Some(part);
-    }
-
-    fn view(&self, id: &str) -> Option<JobView> {
-        if let Some(over) = self.mirror.over(id) {
-            return Some(over_view(id, over));
-        }
-        let counts = self.part.as_ref().and_then(|p| p.counts(id)).or(self.counts.get(id).copied());
-        self.mirror.live.get(id)?;
-        let (done, running) = counts.unwrap_or_default();
-        let state = if running > 0 { JobState::Running } else { JobState::Queued };
-        Some(JobView { id: id.into(), state, done: Some(done), running: Some(running) })
-    }
-
-    fn own_view(&self) -> View {
-        let counts = self.part.as_ref().filter(|_| self.right() != Right::None).map(|p| p.all_counts());
-        let (node, revision) = (self.me.node.clone(), self.mirror.revision);
-        View { node, epoch: self.newest_epoch, revision, state_ok: self.state_ok(), counts }
-    }
-
-    fn state_ok(&self) -> bool {
-        self.now() < self.state_ok_at + 2500
-    }
-
-    fn take_view(&mut self, v: View) {
-        let now = self.now();
-        if v.epoch > self.newest_epoch {
-            self.newest_epoch = v.epoch;
-        }
-        if self.term().is_some_and(|(epoch, ..)| self.newest_epoch > epoch) {
-            self.lead_event(Event::Ended);
-        }
-        if let Some(counts) = v.counts.filter(|_| self.part.is_none() && v.epoch >= self.newest_epoch) {
-            self.counts = counts.into_iter().map(|(id, done, running)| (id, (done, running))).collect();
-        }
-        self.hints.acknowledged(&v.node, v.revision);
-        self.others.told(v.node, v.state_ok, now);
-    }
-
-    /// A cancellation is known to be durable, perhaps sooner than the mirror shows it: what runs of the job is stopped,
-    /// nothing of it is started or believed to be done any more.
-    fn cancelled(&mut self, id: &str, tasks: u32) {
-        let now = self.now();
-        self.mirror.remember_over(id, OverRecord { cancelled: true, tasks });
-        if let Some(part) = self.part.as_mut() {
-            part.at(now);
-            part.drop_job(id);
-        }
-    }
-
-    /// Another node's word of cancellations; tells how far this one's mirror is.
-    fn take_cancelled(&mut self, told: &Cancelled) -> u64 {
-        for (id, tasks) in told.jobs.iter().filter(|(id, _)| wire::job_id(id)) {
-            self.cancelled(id, *tasks);
-        }
-        self.mirror.revision
-    }
-
-    /// Whether no leader can start anything any more of a job whose cancellation is durable at a revision: the leader of
-    /// then has been told, or its hold has ended. A later one has read the store since.
-    fn stops_known(&self, revision: u64) -> bool {
-        let Some(leader) = self.mirror.leader.as_ref() else { return self.mirror.revision >= revision };
-        self.mirror.revision >= revision
-            && (leader.record == self.me
-                || leader.version > revision
-                || self.hints.known_by(&leader.record.node) >= revision)
-    }
-
-    /// Whether this node should get users: it is loaded, and if the state service does not answer it, then not it alone.
-    /// A node that had lost the service and the others kept its users, and with its few connections was given more.
-    fn healthy(&self) -> bool {
-        let alone = !self.settings.platform.peers.is_empty() && self.others.alone(self.now());
-        self.mirror.loaded && !self.types.is_empty() && (self.state_ok() || !alone)
-    }
-
-    fn report(&mut self, r: &Report) -> WorkerAnswer {
-        let now = self.now();
-        let right = self.right();
-        let leader = self.mirror.leader.as_ref().map(|l| l.record.node.clone());
-        let elsewhere = |l: Option<String>, me: &str| match l.filter(|l| l != me) {
-            Some(l) => WorkerAnswer::Elsewhere(Some(l)),
-            None => WorkerAnswer::Later,
-        };
-        if right == Right::None {
-            return elsewhere(leader, &self.me.node);
-        }
-        let Some(part) = self.part.as_mut() else { return WorkerAnswer::Later };
-        part.at(now);
-        match part.report(r, true, right == Right::Full) {
-            Taken::Reply(reply) => WorkerAnswer::Reply(reply),
-            Taken::Superseded => {
-                self.lead_event(Event::Ended);
-                WorkerAnswer::Later
-            }
-            Taken::Stranger => {
-                if !self.released.contains_key(&r.machine) && self.strangers.len() < STRANGERS {
-                    let (machine_type, zone) = (r.machine_type.clone(), r.zone.clone());
-                    let ask = Some((r.address.clone(), r.session));
-                    self.strangers.insert(r.machine.clone(), Stranger { machine_type, zone, spot: r.spot, ask });
-                }
-                WorkerAnswer::Later
-            }
-        }
-    }
-
-    /// The checks behind a 422.
-    fn impossible(&self, s: &JobSpec) -> Option<&'static str> {
-        let Some(team) = self.settings.platform.deployment.teams.iter().find(|t| t.name == s.team) else {
-            return Some("unknown team");
-        };
-        let fits = self.types.iter().any(|t| {
-            s.types.as_ref().is_none_or(|l| l.contains(&t.name))
-                && s.zone.as_ref().is_none_or(|z| t.zones.contains(z))
-                && s.cpus <= t.cpus
-                && s.gpus <= t.gpus
-                && s.memory_gb <= t.memory_gb
-        });
-        if !fits {
-            return Some("no allowed machine type is large enough");
-        }
-        let at_once = if s.kind == Kind::Array { 1.0 } else { s.tasks as f64 };
-        let over = |each: f64, most: f64| most > 0.0 && each * at_once > most + 1e-9;
-        (over(s.cpus, team.cpus_max) || over(s.gpus, team.gpus_max)).then_some("more than the team's limit")
-    }
-}
-
-fn done_rows(mirror: &Mirror, job: &str) -> Vec<(u32, Vec<u8>)> {
-    let from = (job.to_string(), 0);
-    let rows = mirror.done.range(from..).take_while(|((j, _), _)| j == job);
-    rows.map(|((_, chunk), v)| (*chunk, v.record.clone())).collect()
-}
-
-fn over_view(id: &str, over: OverRecord) -> JobView {
-    let (state, done) = if over.cancelled { (JobState::Cancelled, 0) } else { (JobState::Done, over.tasks) };
-    JobView { id: id.into(), state, done: Some(done), running: Some(0) }
-}
-
 /// The handles that the loops share.
 #[derive(Clone)]
 struct Shared {
@@ -381,16 +106,10 @@
     logging: Rc<Notify>,
 }
 
-/// Time between looks at what time alone brings.
-const TICK_MS: u64 = 100;
-/// Least time between two rounds of placing and sending.
-const PASS_MS: u64 = 20;
 /// How long a watch waits for a change.
 const WATCH_MS: u64 = 4000;
 /// How long the mirror may lag behind a read before its watch is opened anew; doubled while that does not help.
 const PATIENCE_MS: u64 = 500;
-/// Time between rounds of durable writes of the leader.
-const FLUSH_MS: u64 = 500;
 
 fn pause(ms: u64) -> tokio::time::Sleep {
     tokio::time::sleep(Duration::from_millis(ms))
@@ -432,12 +151,7 @@
                 match self.noted(self.store.load().await) {
                     Ok(fresh) => {
                         let revision = fresh.revision;
-                        {
-                            let mut core = self.core.borrow_mut();
-                            let seen = core.mirror.replace(fresh);
-                            core.seen(seen, &self.campaign);
-                            core.lead_event(Event::Mirrored(revision));
-                        }
+                        self.core.borrow_mut().loaded(fresh);
                         self.revision.send_replace(revision);
                         loaded = true;
                         self.campaign.notify_one();
@@ -462,12 +176,8 @@
                 Ok(w) => {
                     patience = PATIENCE_MS;
                     let quiet = w.events.is_empty();
-                    {
-                        let mut core = self.core.borrow_mut();
-                        let seen = core.mirror.apply(w.revision, &w.events);
-                        core.seen(seen, &self.campaign);
-                        let revision = core.mirror.revision;
-                        core.lead_event(Event::Mirrored(revision));
+                    if self.core.borrow_mut().watched(w.revision, &w.events) {
+                        self.campaign.notify_one();
                     }
                     self.revision.send_replace(w.revision);
                     self.urgent.notify_one();
@@ -594,37 +304,9 @@
     fn new(settings: Settings) -> Node {
         let connections = (settings.platform.deployment.machine_limits.max_connections / 8).clamp(8, 100);
         let http = worker::http_client(connections);
-        let me =
-            LeaderRecord { node: settings.platform.node.clone(), incarnation: rand::thread_rng().gen::<u64>() >> 1 };
-        let ttl = (settings.operator.hold_s * 1000.0) as u64;
+        let incarnation = rand::thread_rng().gen::<u64>() >> 1;
         let external = settings.platform.external.clone();
-        let state = &settings.platform.deployment.state;
-        // Users get at most two thirds of the changes; the rest is for the leader's books.
-        let user_changes = state.write_rps * 2.0 / 3.0 / (settings.platform.peers.len() + 1) as f64;
-        let core = Core {
-            lead: Leadership::new(ttl, settings.grace_ms()),
-            settings,
-            begun: Instant::now(),
-            me,
-            mirror: Mirror::default(),
-            part: None,
-            fleet: Fleet::default(),
-            types: Vec::new(),
-            counts: HashMap::new(),
-            others: Others::default(),
-            hints: Hints::default(),
-            newest_epoch: 0,
-            state_ok_at: 0,
-            no_campaign_until: 0,
-            leads_since: 0,
-            unlogged: false,
-            released: HashMap::new(),
-            gone: HashSet::new(),
-            strangers: BTreeMap::new(),
-            hires: 0,
-            readers: Vec::new(),
-            pacer: Pacer::new(user_changes),
-        };
+        let core = Core::new(settings, incarnation, Clock::Steady(Instant::now()));
         let shared = Shared {
             core: Rc::new(RefCell::new(core)),
             store: StoreClient::new(http.clone(), external.state),
--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -86,8 +86,8 @@
         if core.right() != Right::Full {
             return Vec::new();
         }
+        let now = core.now();
         let core = &mut *core;
-        let now = core.begun.elapsed().as_millis() as u64 + 1000;
         let w = &core.settings.platform.deployment.workers;
         // Long enough for two probes; a machine silent for longer rarely comes back within its lease.
         let silent_ms = ((2.0 * w.report_s + 2.0).max(0.4 * w.lease_s) * 1000.0) as u64;
@@ -219,11 +219,12 @@
     pub(super) async fn list(&self, after: &str) -> Option<String> {
         let (machines, more) = self.cloud.list(after).await?;
         let mut core = self.core.borrow_mut();
+        let now = core.now();
         let core = &mut *core;
         // The list may still show what an earlier leader has released: an heir once took such machines in and counted
         // on them for a minute. Workers that report are taken in at once.
         let lag_ms = (core.settings.platform.deployment.cloud.list_lag_s * 2000.0) as u64 + 2000;
-        let settled = core.begun.elapsed().as_millis() as u64 > core.leads_since + lag_ms;
+        let settled = now > core.leads_since + lag_ms;
         let part = core.part.as_mut()?;
         let next = machines.last().map(|m| m.id.clone());
         for m in machines {
--- /dev/null
+++ b/src/node/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Whole controllers in a scripted world.
+
+mod meetings;
+mod schedules;
+mod world;
--- a/src/part/machines.rs
+++ b/src/part/machines.rs
@@ -45,6 +45,7 @@
             contacted: false,
             last_heard: self.now,
             last_answer: self.now,
+            session_seen: 0,
             notice_at: None,
             images: VecDeque::new(),
             c: Capability::default(),
@@ -132,7 +133,7 @@
     }
 
     fn lease_over(&self, m: &Machine) -> bool {
-        self.now > m.last_answer + self.p.lease_ms + self.p.lease_ms / 500 + LEASE_MARGIN_MS
+        self.now > m.last_answer.max(m.session_seen) + self.p.lease_ms + self.p.lease_ms / 500 + LEASE_MARGIN_MS
     }
 
     /// Machines that should be heard from and have not shown the current token for `silent_ms`, less those of zones that
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -330,6 +330,8 @@
     /// token do not count: they may come from a machine that nothing of ours reaches.
     last_heard: u64,
     last_answer: u64,
+    /// When its present session became known here: it may have begun only just before, with its full lease.
+    session_seen: u64,
     notice_at: Option<u64>,
     images: VecDeque<usize>,
     c: Capability,
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -34,6 +34,11 @@
             return Taken::Reply(ReportReply { token, orders: Vec::new() });
         }
         let another = m.last.0 != 0 && r.session > m.last.0;
+        if r.session > m.last.0 {
+            // Its lease runs from its beginning, answered or not. A machine that reached no controller once got work in its
+            // next session by direct orders, and was taken for outwaited by the lease of the session before.
+            m.session_seen = now;
+        }
         m.last = (r.session, r.seq);
         m.reported_at = Some(now);
         if m.address != r.address {
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -1202,3 +1202,71 @@
     // It counts until it is gone.
     assert_eq!(w.part.team_use[0][0], 4000);
 }
+
+#[test]
+fn a_session_that_begins_unanswered_has_its_full_lease() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.tell("n-1", &[]);
+    // From now on it reaches no controller; direct orders and their answers get through. It begins its second session
+    // without an answer, which a probe tells shortly before the first one's lease would be over here.
+    w.pass_to(1000 + LEASE / 2 - 1000);
+    let at = w.part.now;
+    let mut r = w.report("n-1", w.token(), &[]);
+    r.session = 2;
+    w.part.report(&r, false, false);
+    let token = w.token() + 1;
+    let mut r = w.report("n-1", token, &[]);
+    r.session = 2;
+    w.part.report(&r, false, false);
+    w.job(spec("wk-1", 1), 101);
+    w.part.stir();
+    w.part.place();
+    w.log();
+    let sent = w.part.direct(9);
+    let started = starts(&sent[0].orders);
+    let mut r = w.report("n-1", token, &[(&started[0].0, started[0].1, TaskState::Running, None)]);
+    r.session = 2;
+    w.part.direct_answer(&sent[0], Some(&r));
+    // The task is there until the lease of the second session has surely run out.
+    w.pass_to(at + LEASE);
+    assert_eq!(w.part.machine(0).tasks.len(), 1);
+    w.pass_to(at + LEASE + 1000);
+    assert!(w.part.machine(0).tasks.is_empty());
+}
+
+impl Part {
+    /// What a test wants to see of a part that does not do what it should.
+    pub fn describe(&self) -> String {
+        let machine = |(i, m): (usize, &Machine)| {
+            format!(
+                "{i} {} {:?} zone {} current {} heard {} answer {} direct {} room {:?} tasks {:?} before {}\n",
+                m.name,
+                m.state,
+                m.zone,
+                m.current,
+                m.last_heard,
+                m.last_answer,
+                m.direct,
+                m.room,
+                m.tasks,
+                m.not_before
+            )
+        };
+        let job = |j: &Job| {
+            format!(
+                "{} ended {} pending {} zones {:?} active {:?} before {} turn {:?}\n",
+                j.record.spec.id,
+                j.ended,
+                j.pending(),
+                j.zone_use,
+                j.active,
+                j.not_before,
+                j.record.spec.together
+            )
+        };
+        let machines: String = self.machines().map(machine).collect();
+        let jobs: String = self.jobs().map(job).collect();
+        format!("now {} use {:?}\n{machines}{jobs}{:?}", self.now, self.team_use, self.log)
+    }
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -151,15 +151,15 @@
     /// Revision up to which changes are in; an empty store has 0.
     pub revision: u64,
     /// Unfinished jobs.
-    pub live: HashMap<String, Versioned<LiveRecord>>,
+    pub live: BTreeMap<String, Versioned<LiveRecord>>,
     /// Cancelled jobs of which tasks may still be somewhere.
-    pub stopping: HashMap<String, Versioned<LiveRecord>>,
+    pub stopping: BTreeMap<String, Versioned<LiveRecord>>,
     /// Finished tasks by job and chunk.
     pub done: BTreeMap<(String, u32), Versioned<Vec<u8>>>,
     /// The start log by slot, as text: only an heir reads it.
     pub starts: BTreeMap<u32, Versioned<String>>,
     /// Hires.
-    pub hires: HashMap<String, Versioned<HireRecord>>,
+    pub hires: BTreeMap<String, Versioned<HireRecord>>,
     /// Leader.
     pub leader: Option<Versioned<LeaderRecord>>,
     /// Epoch.
