--- a/src/node/tests/meetings.rs
+++ b/src/node/tests/meetings.rs
@@ -108,24 +108,54 @@
     w.run(10_000);
     let leader = w.leader().unwrap();
     w.peers_cut_until = u64::MAX;
+    w.watches_stuck = true;
     w.refuse(leader, true);
     w.run(200);
     assert!(w.cancel(other(leader), "wk-0"));
-    // Its hold lives on, since it is renewed between the refusals.
+    // Its hold lives on, since it is renewed between the refusals, but its mirror never moves.
     for _ in 0..30 {
-        w.run(1500);
+        w.run(1200);
         w.refuse(leader, false);
         w.run(600);
         w.refuse(leader, true);
     }
     assert_eq!(w.running("wk-0"), 0);
     w.refuse(leader, false);
+    w.watches_stuck = false;
     w.peers_cut_until = 0;
     w.run(30_000);
     assert!((1..4).all(|n| w.running(&format!("wk-{n}")) == 4));
     whole(&w);
 }
 
+/// A cancellation is confirmed once the leader knows, or can start nothing any more: starts whose lines were durable
+/// before it may be on their way out of a leader that the state service refuses and that no other reaches.
+#[test]
+fn no_start_is_sent_after_a_confirmed_cancellation() {
+    for peers in [true, false] {
+        for offset in 0..12 {
+            let mut w = World::new(21, 4);
+            w.write_ms = 400;
+            w.submit(spec("wk-1", 6), 60_000);
+            w.run(50 * offset);
+            let leader = w.leader().unwrap();
+            if !peers {
+                w.peers_cut_until = w.now() + 20_000;
+            }
+            w.refuse(leader, true);
+            if !w.cancel(other(leader), "wk-1") {
+                // Not known there yet.
+                continue;
+            }
+            w.run(6000);
+            w.refuse(leader, false);
+            w.run(20_000);
+            assert!(w.jobs["wk-1"].told.is_some() && w.running("wk-1") == 0);
+            whole(&w);
+        }
+    }
+}
+
 #[test]
 fn small_jobs_end_far_apart_across_changes_of_leader() {
     let mut w = World::new(1, 4);
--- a/src/node/tests/world.rs
+++ b/src/node/tests/world.rs
@@ -214,6 +214,10 @@
     pub fetch_ms: u64,
     /// Commands sent straight to workers that are held up take at least this long.
     pub held_ms: u64,
+    /// How long the answer to a write of the start log takes.
+    pub write_ms: u64,
+    /// Watches that were silenced once stay silent, whatever is opened anew.
+    pub watches_stuck: bool,
 }
 
 fn settings(node: usize, nodes: usize, limit: Option<f64>) -> Settings {
@@ -268,6 +272,8 @@
             island: None,
             fetch_ms: 800,
             held_ms: 2000,
+            write_ms: STEP,
+            watches_stuck: false,
         };
         for _ in 0..3 {
             w.nodes.push(Controller {
@@ -492,12 +498,12 @@
     /// A watch that was open when the service did not answer waits silently until its time is over.
     fn watch(&mut self, n: usize) {
         let now = self.now();
-        let reach = self.service.reach(n).is_ok();
+        let (reach, stuck) = (self.service.reach(n).is_ok(), self.watches_stuck);
         let Controller { core: Some(core), watch, .. } = &mut self.nodes[n] else { return };
         if let Some((opened, silent)) = watch {
             *silent |= !reach;
             let left_behind = now >= *opened + 500 && core.lead.behind(now - 500);
-            if now > *opened + WATCH || (left_behind && reach) {
+            if (now > *opened + WATCH || (left_behind && reach)) && !(stuck && *silent) {
                 *watch = None;
             }
         }
@@ -606,7 +612,8 @@
         let Some((append, term, txn)) = self.nodes[n].core.as_mut().unwrap().next_append() else { return };
         let done = self.txn(n, &txn);
         let unanswered = done == Err(StoreError::Unknown);
-        self.nodes[n].writing = Some(Writing { append, term, done, at: now + if unanswered { 1500 } else { STEP } });
+        self.nodes[n].writing =
+            Some(Writing { append, term, done, at: now + if unanswered { 1500 } else { self.write_ms } });
     }
 
     fn books(&mut self, n: usize) {
