Jobs that fail everywhere cost no machine; no job waits long for a holder; stops reach machines being released

A job of which nothing has finished and that fails on a second machine says nothing of machines: those given up for its sake are used again; from the third on it is tried one task at a time, and nothing is rented for the rest. A machine whose release the cloud does not confirm still gets stops directly. A machine in no hire whose adoption was carried out late is used. A cancellation found durable on reading back is told and confirmed like any other.

--- a/src/node/renting.rs
+++ b/src/node/renting.rs
@@ -196,7 +196,17 @@
         let name = format!("found-{machine}");
         let record = HireRecord { machine_type, zone, spot, count: 1, machines: Some(vec![machine.clone()]) };
         let txn = store::hire_txn(&guard(store::epoch_key(), epoch), &name, 0, &record);
-        if let Ok(Decided::Applied(_)) = self.txn(&txn).await {
+        let known = match self.txn(&txn).await {
+            Ok(Decided::Applied(_)) => true,
+            // An earlier try that was not answered went through after all: without this the machine was never used, nor
+            // returned, until the next change of leader.
+            Ok(Decided::Failed(keys)) if keys == [store::hire_key(&name)] => {
+                let core = self.core.borrow();
+                core.mirror.hires.get(&name).is_some_and(|h| h.record == record)
+            }
+            _ => false,
+        };
+        if known {
             tracing::info!(%machine, "unexpected machine taken in");
             // Of another epoch this one knows from the store.
             if self.core.borrow().term().is_some_and(|(_, version, _)| version == epoch) {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -11,9 +11,14 @@
         if let Some(r) = self.core.borrow().mirror.over(id) {
             return Ok(r);
         }
+        Ok(self.final_state(id).await?.record)
+    }
+
+    /// A final state as the store has it.
+    async fn final_state(&self, id: &str) -> Result<store::Versioned<OverRecord>, StoreError> {
         let read = self.noted(self.store.get::<OverRecord>(&store::over_key(id)).await)?;
         self.core.borrow_mut().mirror.remember_over(id, read.record);
-        Ok(read.record)
+        Ok(read)
     }
 
     pub(super) async fn poll(self, id: String) -> Answer {
@@ -103,6 +108,18 @@
         }
     }
 
+    /// Confirms a cancellation that is durable at a revision.
+    async fn confirm(&self, id: &str, over: OverRecord, revision: u64) -> Answer {
+        {
+            let mut core = self.core.borrow_mut();
+            core.cancelled(id, over.tasks);
+            core.hints.add(id, over.tasks, revision);
+        }
+        self.cancelled.notify_one();
+        self.stops_known(revision).await;
+        Answer::Job(200, over_view(id, over))
+    }
+
     /// Waits until no start of a job can be sent any more whose cancellation is durable at a revision: until the leader
     /// has been told, mostly milliseconds, or its right to start has surely ended without a word.
     async fn stops_known(&self, revision: u64) {
@@ -139,18 +156,10 @@
             }
             let txn = store::abort_txn(&id, &live);
             match self.user_txn(&txn).await {
-                Ok(Decided::Applied(revision)) => {
-                    {
-                        let mut core = self.core.borrow_mut();
-                        core.cancelled(&id, over.tasks);
-                        core.hints.add(&id, over.tasks, revision);
-                    }
-                    self.cancelled.notify_one();
-                    self.stops_known(revision).await;
-                    return Answer::Job(200, over_view(&id, over));
-                }
-                Ok(Decided::Failed(_)) | Err(StoreError::Unknown) => match self.read_over(&id).await {
-                    Ok(over) => return Answer::Job(200, over_view(&id, over)),
+                Ok(Decided::Applied(revision)) => return self.confirm(&id, over, revision).await,
+                Ok(Decided::Failed(_)) | Err(StoreError::Unknown) => match self.final_state(&id).await {
+                    Ok(found) if found.record.cancelled => return self.confirm(&id, found.record, found.version).await,
+                    Ok(found) => return Answer::Job(200, over_view(&id, found.record)),
                     Err(StoreError::Gone) => pause(100).await,
                     Err(_) => return Answer::Later(1),
                 },
--- a/src/part/look.rs
+++ b/src/part/look.rs
@@ -111,7 +111,7 @@
             let job = self.job(j);
             let Some(team) = job.team else { continue };
             let quota = (0..2).map(|r| team_left[team][r].checked_div(job.need[r]).unwrap_or(u64::MAX)).min();
-            let mut left = job.pending().min(quota.unwrap_or(0).min(u32::MAX as u64) as u32);
+            let mut left = job.wanted(self.now).min(quota.unwrap_or(0).min(u32::MAX as u64) as u32);
             if left == 0 || (job.record.spec.kind == Kind::Gang && left < job.pending()) {
                 continue;
             }
@@ -160,13 +160,13 @@
         let mut ending = self.team_ending.clone();
         for j in queue {
             let job = self.job(j);
-            let now = job.pending().min(self.quota_room(job));
+            let now = job.wanted(self.now).min(self.quota_room(job));
             let mut zones = HashMap::new();
             let left = room.take(self, job, now, &mut zones);
             if left > 0 {
                 self.preempt(j, left, &mut room, &mut zones, &mut asked);
             }
-            let short = self.job(j).pending() - now;
+            let short = self.job(j).wanted(self.now) - now;
             if short > 0 {
                 self.yield_quota(j, short, &mut ending);
             }
--- a/src/part/machines.rs
+++ b/src/part/machines.rs
@@ -50,6 +50,7 @@
             images: VecDeque::new(),
             c: Capability::default(),
             errors: Vec::new(),
+            faulty: false,
             not_before: 0,
             direct: false,
             direct_starts: false,
@@ -221,14 +222,17 @@
                 continue;
             };
             // Stays in the outbox until it can be told, by an order or in the answer to its report.
-            if !m.current || m.direct || m.state == MachineState::Releasing {
+            if !m.current || m.direct {
                 continue;
             }
             self.outbox.remove(&i);
             let mut orders = Vec::new();
             let (machine, address, token, session) = (m.name.clone(), m.address.clone(), self.token(m), m.last.0);
             self.collect_stops(i, &mut orders);
-            self.collect_starts(i, true, &mut orders);
+            // A release may take long where the cloud does not answer: what is cancelled there is stopped meanwhile.
+            if self.machine(i).state != MachineState::Releasing {
+                self.collect_starts(i, true, &mut orders);
+            }
             if !orders.is_empty() {
                 let m = self.machine_mut(i);
                 m.direct = true;
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -21,6 +21,10 @@
 use starts::StartLog;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
+/// A job that has failed on so many machines, and of which no task has finished, is taken for one with a mistake.
+const MISTAKEN: usize = 3;
+/// A task that has run for so long is no mistake.
+const PROOF_MS: u64 = 30_000;
 /// Bits of a token, and of an attempt, below the epoch.
 const TOKEN_BITS: u32 = 24;
 
@@ -223,6 +227,8 @@
     failed_on: HashSet<usize>,
     failures: u32,
     not_before: u64,
+    /// When a task of it last found a place, or it became known here.
+    placed_at: u64,
     within: bool,
     /// How often each task was stopped to make room for others.
     displaced: BTreeMap<u32, u32>,
@@ -252,6 +258,27 @@
         self.tasks() - self.done_n - self.active.len() as u32
     }
 
+    /// Whether it fails wherever it is tried: submitted with a mistake, it goes on failing until its user cancels it.
+    fn mistaken(&self, now: u64) -> bool {
+        self.failed_on.len() >= MISTAKEN && !self.proven(now)
+    }
+
+    /// Whether a task of it has finished or has run for a while, so that what fails is the machine's fault.
+    fn proven(&self, now: u64) -> bool {
+        let runs = |a: &Active| a.phase == Phase::Running && now > a.since + PROOF_MS;
+        self.done_n > 0 || self.active.values().any(runs)
+    }
+
+    /// Tasks that should find a place now: of a job that fails everywhere one at a time, so that it neither takes the room
+    /// of others nor has machines rented.
+    fn wanted(&self, now: u64) -> u32 {
+        let pending = self.pending();
+        if self.record.spec.kind != Kind::Gang && self.mistaken(now) {
+            return if self.active.is_empty() { pending.min(1) } else { 0 };
+        }
+        pending
+    }
+
     fn next_pending(&mut self) -> Option<u32> {
         if let Some(t) = self.returned.pop_first() {
             return Some(t);
@@ -336,6 +363,8 @@
     images: VecDeque<usize>,
     c: Capability,
     errors: Vec<usize>,
+    /// Draining because of them.
+    faulty: bool,
     not_before: u64,
     direct: bool,
     /// Direct starts were sent under its present token.
@@ -604,6 +633,7 @@
             failed_on: HashSet::new(),
             failures: 0,
             not_before: 0,
+            placed_at: self.now,
             within: false,
             displaced: BTreeMap::new(),
             submitted: self.now.saturating_sub(age),
@@ -753,6 +783,7 @@
         let job = self.jobs[j].as_mut().expect("a task that changes belongs to a present job");
         match (old, next) {
             (None, Some(n)) => {
+                job.placed_at = now;
                 job.active.insert(t, n);
                 self.account(j, t, n.machine, true);
             }
--- a/src/part/placing.rs
+++ b/src/part/placing.rs
@@ -6,6 +6,8 @@
 /// The largest jobs, too, must begin within this time (PROTOCOL, additions), and this share of it is left to others.
 const BEGIN_MS: u64 = 240_000;
 const PATIENCE: f64 = 0.4;
+/// No job waits for so long while a machine that fits has room (PROTOCOL, additions).
+const WAIT_MS: u64 = 90_000;
 /// Most tasks of one job placed in one pass: the next pass is milliseconds away.
 const AT_ONCE: u32 = 2000;
 
@@ -67,7 +69,7 @@
             });
             let job = self.job_mut(i);
             job.within = within;
-            if job.pending() > 0 && job.not_before <= now {
+            if job.wanted(now) > 0 && job.not_before <= now {
                 out.push(i);
             }
         }
@@ -216,7 +218,7 @@
                 out.push(candidate(i, m, room, holders.is_some_and(|h| h.contains(&i))));
             }
         }
-        if out.is_empty() || !self.p.transfer_test || out.iter().all(|c| c.holder) {
+        if out.is_empty() || !self.p.transfer_test || self.impatient(job) || out.iter().all(|c| c.holder) {
             return out;
         }
         for &i in holders.into_iter().flatten() {
@@ -228,6 +230,12 @@
         out
     }
 
+    /// Whether a job has waited so long that it takes what room there is: places on holders are expected to come free again
+    /// and again, and over a slow link the wait for one may seem worth while for longer than a job may be left waiting.
+    fn impatient(&self, job: &Job) -> bool {
+        self.now.saturating_sub(job.placed_at) as f64 > WAIT_MS as f64 * PATIENCE
+    }
+
     /// CPUs of a machine that no service uses.
     pub(super) fn without_services(&self, m: &Machine) -> u64 {
         self.types.get(m.kind).map_or(0, |t| (t.cpus * 1000.0) as u64).saturating_sub(m.service_cpus)
@@ -254,7 +262,7 @@
         let job = self.job(j);
         let whole = job.record.spec.kind == Kind::Gang;
         let most = if whole { u32::MAX } else { AT_ONCE };
-        let mut left = job.pending().min(self.quota_room(job)).min(most);
+        let mut left = job.wanted(self.now).min(self.quota_room(job)).min(most);
         // A gang starts whole or not at all: what is left of an earlier try must be gone first.
         if left == 0 || (whole && (left < job.pending() || !job.active.is_empty())) {
             return;
@@ -281,7 +289,7 @@
             time_s: job.time_s(),
             transfer_s: job.record.spec.image_gb / rate,
             group_factor: self.p.group_factor,
-            transfer_test: self.p.transfer_test,
+            transfer_test: self.p.transfer_test && !self.impatient(job),
         };
         // With a zone cap a machine may get less than planned; the plan then covers all machines.
         let capped = job.record.spec.scatter;
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -5,6 +5,8 @@
 
 /// Most orders in one answer: keeps answers far below their limit.
 const ORDERS: usize = 300;
+/// Longest pause between two tries of a job that fails everywhere.
+const WAIT_MOST_MS: u64 = 60_000;
 /// Images remembered for a machine.
 const IMAGES: usize = 24;
 
@@ -302,29 +304,43 @@
         self.changed = true;
     }
 
-    /// A task failed: its machine is faulty, or its job has a mistake. A job that fails everywhere only backs off; a
-    /// machine that fails tasks of several jobs is given up.
+    /// A task failed: its machine is faulty, or its job has a mistake. A machine that fails tasks of several jobs is given
+    /// up. A job of which nothing has finished and that fails elsewhere too says nothing of machines, and what was thought
+    /// of them for its sake is taken back; once it has failed on several it is tried rarely, one task at a time.
     fn failed(&mut self, i: usize, j: usize) {
         let now = self.now;
         let job = self.job_mut(j);
         job.failures += 1;
         job.failed_on.insert(i);
-        let mistaken = job.failed_on.len() >= 3 && job.finished_n == 0;
+        let (mistaken, proven) = (job.mistaken(now), job.proven(now));
         if mistaken {
-            job.not_before = now + (1000u64 << job.failures.min(6)).min(60_000);
-            self.machines.iter_mut().flatten().for_each(|m| m.errors.retain(|e| *e != j));
+            job.not_before = now + (1000u64 << job.failures.min(6)).min(WAIT_MOST_MS);
+        }
+        if !proven && job.failed_on.len() >= 2 {
+            self.acquit(j);
+            return;
         }
         let m = self.machine_mut(i);
-        if !mistaken {
-            if !m.errors.contains(&j) {
-                m.errors.push(j);
+        if !m.errors.contains(&j) {
+            m.errors.push(j);
+        }
+        m.not_before = now + (2000u64 << m.errors.len().min(4));
+        if m.errors.len() >= 2 {
+            m.faulty = m.state == MachineState::Up;
+            self.enter(i, MachineState::Draining, "fails tasks of several jobs");
+            for (j, t) in self.machine(i).tasks.clone() {
+                self.step(j, t, Step::Stop { save: self.job(j).record.spec.checkpoint_s > 0.0 });
             }
-            m.not_before = now + (2000u64 << m.errors.len().min(4));
-            if m.errors.len() >= 2 {
-                self.enter(i, MachineState::Draining, "fails tasks of several jobs");
-                for (j, t) in self.machine(i).tasks.clone() {
-                    self.step(j, t, Step::Stop { save: self.job(j).record.spec.checkpoint_s > 0.0 });
-                }
+        }
+    }
+
+    /// The failures of a job say nothing of machines: those given up for its sake are used again.
+    fn acquit(&mut self, j: usize) {
+        for i in 0..self.machines.len() {
+            let Some(m) = self.machines[i].as_mut().filter(|m| m.errors.contains(&j)) else { continue };
+            m.errors.retain(|e| *e != j);
+            if m.errors.len() < 2 && std::mem::take(&mut m.faulty) && m.notice_at.is_none() {
+                self.enter(i, MachineState::Up, "what failed there fails everywhere");
             }
         }
     }
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -1235,6 +1235,64 @@
     assert!(w.part.machine(0).tasks.is_empty());
 }
 
+#[test]
+fn a_job_that_fails_everywhere_costs_no_machine_and_takes_no_more_than_one_place() {
+    let mut w = World::new();
+    for name in ["n-1", "n-2", "n-3"] {
+        w.machine(name, "a");
+    }
+    // Two of them meet on a machine, which looks faulty for a moment; elsewhere they fail too.
+    w.job(JobSpec { cpus: 4.0, ..spec("wk-1", 30) }, 101);
+    w.job(JobSpec { cpus: 4.0, ..spec("wk-2", 30) }, 102);
+    let mut most = 0;
+    for round in 0..200 {
+        w.tick(2000 + round * 1000);
+        let mut tried = 0;
+        for name in ["n-1", "n-2", "n-3"] {
+            let got = starts(&w.tell(name, &[]));
+            tried += got.len();
+            let failed: Vec<_> = got.iter().map(|g| (g.0.as_str(), g.1, TaskState::Exited, Some(Why::Error))).collect();
+            w.tell(name, &failed);
+        }
+        if round > 20 {
+            most = most.max(tried);
+        }
+    }
+    assert!(w.part.machines().all(|(_, m)| m.state == MachineState::Up && m.errors.is_empty()));
+    assert!(w.part.jobs().all(|j| j.mistaken(w.part.now)) && most <= 2, "{most}");
+    // Nothing is rented for them, and others find room beside the one place each.
+    w.tick(262_000);
+    let needs = w.part.look_ahead(false);
+    assert!(needs.iter().map(|n| n.tasks).sum::<u32>() <= 2);
+    w.job(JobSpec { cpus: 8.0, ..spec("wk-3", 3) }, 103);
+    w.tick(262_500);
+    assert!(!w.part.job(w.part.job_index["wk-3"]).active.is_empty());
+}
+
+#[test]
+fn no_job_waits_for_a_holder_while_another_machine_has_had_room_for_long() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.machine("n-2", "a");
+    // A holder that is always full, whose place always seems about to come free, and a link on which a fetch takes longer.
+    w.job(JobSpec { cpus: 8.0, estimate_s: 400.0, ..spec("wk-1", 1) }, 101);
+    w.tick(1100);
+    let got = starts(&w.tell("n-1", &[]));
+    assert_eq!(got.len(), 1);
+    w.tell("n-1", &[(got[0].0.as_str(), got[0].1, TaskState::Running, None)]);
+    w.job(JobSpec { image_gb: 60.0, ..spec("wk-2", 1) }, 102);
+    for at in 2..100 {
+        w.pass_to(at * 1000);
+        w.tick(at * 1000);
+        w.tell("n-1", &[(got[0].0.as_str(), got[0].1, TaskState::Running, None)]);
+        if !starts(&w.tell("n-2", &[])).is_empty() {
+            assert!(at > 30, "the transfer test holds it back first");
+            return;
+        }
+    }
+    panic!("left waiting for 90 s while a machine had room");
+}
+
 impl Part {
     /// What a test wants to see of a part that does not do what it should.
     pub fn describe(&self) -> String {
