--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -1261,11 +1261,11 @@
     assert!(w.part.machines().all(|(_, m)| m.state == MachineState::Up && m.errors.is_empty()));
     assert!(w.part.jobs().all(|j| j.mistaken(w.part.now)) && most <= 2, "{most}");
     // Nothing is rented for them, and others find room beside the one place each.
-    w.tick(262_000);
+    w.tick(202_000);
     let needs = w.part.look_ahead(false);
     assert!(needs.iter().map(|n| n.tasks).sum::<u32>() <= 2);
     w.job(JobSpec { cpus: 8.0, ..spec("wk-3", 3) }, 103);
-    w.tick(262_500);
+    w.tick(202_500);
     assert!(!w.part.job(w.part.job_index["wk-3"]).active.is_empty());
 }
 
