--- a/src/node/books.rs
+++ b/src/node/books.rs
@@ -26,7 +26,7 @@
         }
         if now >= self.due.reconsider {
             self.due.reconsider = now + 5 * TICK_MS;
-            part.stir();
+            part.reconsider();
             if !alone && part.deaf() {
                 return Pass::GiveUp;
             }
--- a/src/node/tests/schedules.rs
+++ b/src/node/tests/schedules.rs
@@ -2,7 +2,7 @@
 
 use super::world::World;
 use crate::part::tests::spec;
-use crate::protocol::Kind;
+use crate::protocol::{Kind, Priority};
 use rand::Rng;
 
 /// Plays a schedule of troubles and returns what broke.
@@ -27,7 +27,10 @@
             _ => {}
         }
         let run = w.rng.gen_range(500..30_000);
+        s.priority = [Priority::Low, Priority::Normal, Priority::High, Priority::Production][w.rng.gen_range(0..4)];
+        let (id, apart) = (s.id.clone(), w.rng.gen_range(0..4) * 2500);
         w.submit(s, run);
+        w.jobs.get_mut(&id).unwrap().apart_ms = apart;
     };
     (0..4).for_each(|_| submit(&mut w));
     let end = w.now() + 120_000;
@@ -51,7 +54,7 @@
             let names: Vec<String> = w.workers.keys().cloned().collect();
             let machine = names[w.rng.gen_range(0..names.len())].clone();
             let for_ms = w.rng.gen_range(300..20_000);
-            let kind = w.rng.gen_range(0..11);
+            let kind = w.rng.gen_range(0..13);
             tracing::info!(now, kind, node, machine, for_ms, "trouble");
             match kind {
                 0 => w.refuse(node, true),
@@ -64,6 +67,11 @@
                 7 => w.peers_cut_until = now + for_ms,
                 8 => w.cloud_down = true,
                 9 => w.service.late_share = 0.3,
+                10 => {
+                    w.island = Some((["a", "b"][node % 2], node));
+                    w.refuse(node, true);
+                }
+                11 => (0..3).for_each(|n| w.crash(n, for_ms / (n as u64 + 1))),
                 _ => w.workers.get_mut(&machine).unwrap().hold_report = for_ms,
             }
             ends.push((now + for_ms, kind, node));
@@ -78,6 +86,10 @@
                 1 => w.outage(false),
                 8 => w.cloud_down = false,
                 9 => w.service.late_share = 0.0,
+                10 => {
+                    w.island = None;
+                    w.refuse(*node, false);
+                }
                 _ => {}
             }
             false
@@ -85,6 +97,7 @@
     }
     (0..3).for_each(|n| w.refuse(n, false));
     w.outage(false);
+    w.island = None;
     (w.cloud_down, w.service.late_share, w.copies, w.held, w.peers_cut_until) = (false, 0.0, 0.0, 0.0, 0);
     w.settles(400_000);
     w.broken
--- a/src/part/mod.rs
+++ b/src/part/mod.rs
@@ -182,7 +182,7 @@
     /// The token under which the start was sent; 0: by an earlier epoch.
     token: u64,
     /// The stop was sent straight to the worker.
-    told: bool,
+    stop_sent: bool,
     /// Its worker has listed it.
     shown: bool,
 }
@@ -746,7 +746,7 @@
                 direct: false,
                 logged: false,
                 token: 0,
-                told: false,
+                stop_sent: false,
                 shown: false,
             }),
             (Step::Adopt { machine, attempt, phase }, None) => Some(Active {
@@ -757,7 +757,7 @@
                 direct: false,
                 logged: true,
                 token: 0,
-                told: false,
+                stop_sent: false,
                 shown: phase != Phase::Sent,
             }),
             (Step::Log, Some(a)) if a.phase == Phase::Assigned => Some(Active { logged: true, ..a }),
@@ -775,7 +775,7 @@
             (Step::Stop { save }, Some(a)) => match a.phase {
                 Phase::Stopping { save: false } => return,
                 Phase::Stopping { save: true } if save => return,
-                _ => Some(Active { phase: Phase::Stopping { save }, since: now, told: false, ..a }),
+                _ => Some(Active { phase: Phase::Stopping { save }, since: now, stop_sent: false, ..a }),
             },
             (Step::Gone | Step::Finished, Some(_)) => None,
             _ => return,
@@ -822,7 +822,7 @@
         m.stopping = m.stopping + stops(next) as u32 - stops(old) as u32;
         match next {
             Some(a) if a.phase == Phase::Assigned && !a.logged => self.log.wants(j, t, at, a.attempt),
-            Some(a) if a.phase == Phase::Assigned || (stops(next) && !a.told) => {
+            Some(a) if a.phase == Phase::Assigned || (stops(next) && !a.stop_sent) => {
                 self.outbox.insert(at);
             }
             // Only room that has come free can let something else be placed.
--- a/src/part/placing.rs
+++ b/src/part/placing.rs
@@ -193,7 +193,7 @@
     }
 
     /// Asks for a new look at what can be placed, since time has passed.
-    pub fn stir(&mut self) {
+    pub fn reconsider(&mut self) {
         self.changed = true;
     }
 
--- a/src/part/reports.rs
+++ b/src/part/reports.rs
@@ -368,8 +368,8 @@
         for (j, t) in self.machine(i).tasks.clone() {
             let job = self.jobs[j].as_mut().expect("accounted tasks belong to a present job");
             let Some(a) = job.active.get_mut(&t) else { continue };
-            if let (Phase::Stopping { save }, false) = (a.phase, a.told) {
-                a.told = true;
+            if let (Phase::Stopping { save }, false) = (a.phase, a.stop_sent) {
+                a.stop_sent = true;
                 let grace_s = if save { job.record.spec.save_s } else { 0.0 };
                 let task = format!("{}/{t}", job.record.spec.id);
                 orders.push(Order::Stop { task, attempt: a.attempt, grace_s });
--- a/src/part/tests.rs
+++ b/src/part/tests.rs
@@ -168,7 +168,7 @@
 
     fn tick(&mut self, now: u64) {
         self.part.tick(now);
-        self.part.stir();
+        self.part.reconsider();
         self.part.place();
         self.log();
     }
@@ -330,7 +330,7 @@
     w.job(spec("wk-1", 1), 50);
     w.inherit(&[("n-1", "wk-1/0", 7)]);
     w.tell("n-9", &[]);
-    w.part.stir();
+    w.part.reconsider();
     assert!(starts(&w.tell("n-9", &[])).is_empty());
     w.part.machine_gone("n-1");
     assert_eq!(starts(&w.tell("n-9", &[])).len(), 1);
@@ -529,7 +529,7 @@
     w.machine("n-1", "a");
     for (n, id) in ["wk-1", "wk-2"].into_iter().enumerate() {
         w.job(spec(id, 1), 101 + n as u64);
-        w.part.stir();
+        w.part.reconsider();
         let now = 1000 + n as u64 * 6_000;
         w.part.tick(now);
         let mut got = starts(&w.tell("n-1", &[]));
@@ -700,7 +700,7 @@
     w.part.enter(i, MachineState::Releasing, "silent");
     w.machine("n-2", "a");
     w.part.machine_gone("n-1");
-    w.part.stir();
+    w.part.reconsider();
     assert_eq!(starts(&w.tell("n-2", &[])).len(), 1);
 }
 
@@ -895,7 +895,7 @@
             Some((task, attempt)) => w.tell("n-1", &[(task.as_str(), attempt, TaskState::Exited, Some(Why::Done))]),
             None => w.tell("n-1", &[]),
         };
-        w.part.stir();
+        w.part.reconsider();
         let got = starts(&w.tell("n-1", &[]));
         begun = got.iter().any(|g| g.0.starts_with("wk-1/")).then_some(now);
         running = got.into_iter().next();
@@ -935,7 +935,7 @@
         got = kept.into_iter().chain(back).collect();
         if got.len() < 4 {
             let lines: Vec<_> = got.iter().map(|g| (g.0.as_str(), g.1, TaskState::Running, None)).collect();
-            w.part.stir();
+            w.part.reconsider();
             let more = starts(&w.tell("n-1", &lines));
             got.extend(more);
         }
@@ -1220,7 +1220,7 @@
     r.session = 2;
     w.part.report(&r, false, false);
     w.job(spec("wk-1", 1), 101);
-    w.part.stir();
+    w.part.reconsider();
     w.part.place();
     w.log();
     let sent = w.part.direct(9);
