--- /dev/null
+++ b/src/config/tests.rs
@@ -0,0 +1,67 @@
+//! Both settings files.
+
+use super::*;
+
+pub const PLATFORM: &str = r#"
+node = "drover-0"
+zone = "z"
+api_addr = "127.0.0.1:1"
+internal_addr = "127.0.0.1:2"
+surprise = 3
+[external]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment]
+initial_size = 1
+[[deployment.teams]]
+name = "t"
+cpus = 8.0
+cpus_max = 16.0
+[deployment.workers]
+report_s = 1.5
+lease_s = 12.0
+cancel_s = 42.0
+[deployment.state]
+rps = 200.0
+write_rps = 40.0
+value_kb = 32.0
+txn_ops = 16
+[deployment.cloud]
+rps = 3.0
+list_lag_s = 10.0
+[deployment.machine_limits]
+max_connections = 100
+"#;
+
+pub fn settings() -> Settings {
+    Settings { platform: toml::from_str(PLATFORM).unwrap(), operator: Operator::default() }
+}
+
+#[test]
+fn unknown_fields_pass_in_the_platform_file_only() {
+    let here = Path::new("x.toml");
+    assert!(settings().check(here, here).is_ok());
+    assert!(toml::from_str::<Operator>("group_factr = 2").is_err());
+}
+
+#[test]
+fn a_wrong_value_is_named() {
+    let mut s = settings();
+    s.platform.deployment.workers.cancel_s = 5.0;
+    let e = s.check(Path::new("p.toml"), Path::new("o.toml")).unwrap_err().to_string();
+    assert!(e.contains("deployment.workers.cancel_s"), "{e}");
+    assert!(Settings::load(Path::new("/nonexistent"), None).is_err());
+}
+
+#[test]
+fn the_grace_period_of_an_outage_ends_before_a_cancelled_task_could_overstay() {
+    let s = settings();
+    let w = &s.platform.deployment.workers;
+    assert!(s.operator.hold_s + (s.grace_ms() as f64) / 1000.0 + w.lease_s + 2.0 * w.report_s < w.cancel_s);
+    // A longer hold leaves less, never an overstay.
+    let mut long = settings();
+    long.operator.hold_s = 20.0;
+    let w = &long.platform.deployment.workers;
+    assert!(long.operator.hold_s + (long.grace_ms() as f64) / 1000.0 + w.lease_s <= w.cancel_s);
+    assert!(long.grace_ms() < s.grace_ms());
+}
--- /dev/null
+++ b/src/pacer/tests.rs
@@ -0,0 +1,24 @@
+//! Tests of `pacer`.
+
+use super::*;
+
+#[test]
+fn a_crowd_is_told_to_come_back_in_turn() {
+    let mut p = Pacer::new(10.0);
+    let answers: Vec<_> = (0..25).map(|_| p.take(1, 1000)).collect();
+    assert_eq!(answers.iter().filter(|a| a.is_ok()).count(), 5);
+    let waits: Vec<u32> = answers.iter().filter_map(|a| a.err()).collect();
+    assert_eq!((waits[0], waits[19]), (1, 4));
+    assert!(p.take(1, 1300).is_ok());
+}
+
+#[test]
+fn the_pace_follows_what_the_service_takes() {
+    let mut p = Pacer::new(10.0);
+    (0..100).for_each(|_| p.taken());
+    assert!((p.per_s - 10.0).abs() < 1e-9);
+    (0..5).for_each(|_| p.refused());
+    assert!(p.per_s < 4.0 && p.take(1, 0).is_err());
+    (0..100).for_each(|_| p.refused());
+    assert!(p.take(1, 10_000).is_ok(), "it never stops");
+}
--- /dev/null
+++ b/src/store/tests.rs
@@ -0,0 +1,145 @@
+//! Keys, transactions and the mirror.
+
+use super::*;
+
+fn live(id: &str, version: u64) -> Event {
+    let record = LiveRecord { spec: crate::part::tests::spec(id, 1), at_ms: 5 };
+    Event::Put { put: live_key(id), value: Value::serialized(&record).unwrap(), version }
+}
+
+#[test]
+fn a_late_page_never_undoes_a_newer_change() {
+    let mut m = Mirror::default();
+    assert_eq!(m.apply(4, &[live("wk-1", 4)]), vec![Seen::Job("wk-1".into())]);
+    // A delete older than the version at hand belongs to an earlier life of the key.
+    assert!(m.apply(4, &[Event::Delete { key: live_key("wk-1"), version: 3 }]).is_empty());
+    let gone = m.apply(6, &[Event::Delete { key: live_key("wk-1"), version: 6 }]);
+    assert_eq!(gone, vec![Seen::JobGone("wk-1".into())]);
+    assert_eq!(m.revision, 6);
+}
+
+#[test]
+fn a_reload_tells_what_was_missed_and_keeps_final_states() {
+    let mut m = Mirror::default();
+    m.apply(4, &[live("wk-1", 3), live("wk-2", 4)]);
+    m.remember_over("wk-9", OverRecord { cancelled: true, tasks: 1 });
+    let mut fresh = Mirror::default();
+    fresh.apply(9, &[live("wk-2", 4), live("wk-3", 8)]);
+    let mut seen = m.replace(fresh);
+    seen.sort_by_key(|s| format!("{s:?}"));
+    assert_eq!(seen, vec![Seen::Catalogue, Seen::Job("wk-3".into()), Seen::JobGone("wk-1".into())]);
+    assert!(m.over("wk-9").unwrap().cancelled);
+}
+
+/// A stand-in for the state service's transactions.
+#[derive(Default)]
+struct Service {
+    keys: HashMap<String, u64>,
+    revision: u64,
+}
+
+impl Service {
+    fn run(&mut self, txn: &Txn) -> bool {
+        if txn.guards.iter().any(|g| self.keys.get(&g.key).copied().unwrap_or(0) != g.version) {
+            return false;
+        }
+        self.revision += 1;
+        for change in &txn.apply {
+            match change {
+                Change::Put { put, .. } => self.keys.insert(put.clone(), self.revision),
+                Change::Delete { key } => self.keys.remove(key),
+            };
+        }
+        true
+    }
+    fn has(&self, key: String) -> bool {
+        self.keys.contains_key(&key)
+    }
+}
+
+#[test]
+fn late_and_repeated_transactions_do_nothing() {
+    let record = LiveRecord { spec: crate::part::tests::spec("wk-1", 1), at_ms: 5 };
+    let mut s = Service::default();
+    assert!(s.run(&Txn { guards: vec![], apply: vec![put(epoch_key(), &1, None)] }));
+    let epoch = guard(epoch_key(), 1);
+    let submit = submit_txn("wk-1", &record);
+    assert!(s.run(&submit) && !s.run(&submit));
+    let live = Versioned { record, version: s.revision };
+    let complete = complete_txn(&epoch, "wk-1", live.version, 1);
+    let abort = abort_txn("wk-1", &live);
+    assert!(s.run(&abort));
+    // A leader's late completion must not turn a cancelled job into a done one, nor a retry submit it again.
+    assert!(!s.run(&complete) && !s.run(&abort) && !s.run(&submit));
+    assert!(s.has(over_key("wk-1")) && s.has(stopping_key("wk-1")) && !s.has(live_key("wk-1")));
+}
+
+#[test]
+fn the_start_log_takes_no_start_of_a_job_whose_cancellation_is_durable() {
+    let record = LiveRecord { spec: crate::part::tests::spec("wk-1", 1), at_ms: 5 };
+    let mut s = Service::default();
+    s.run(&Txn { guards: vec![], apply: vec![put(epoch_key(), &1, None)] });
+    s.run(&submit_txn("wk-1", &record));
+    let live = Versioned { record, version: s.revision };
+    let (mut w, _) = crate::part::tests::with_a_start_to_log(live.version);
+    let txn = log_txn(&guard(epoch_key(), 1), &w.append(8000, 60).unwrap());
+    assert!(s.run(&abort_txn("wk-1", &live)));
+    assert!(!s.run(&txn) && !s.has(starts_key(0)));
+    assert_eq!(live_job(&live_key("wk-1")), Some("wk-1"));
+    assert_eq!(live_job(&over_key("wk-1")), None);
+}
+
+#[test]
+fn a_leader_of_an_earlier_epoch_writes_nothing() {
+    let record = LiveRecord { spec: crate::part::tests::spec("wk-2", 1), at_ms: 5 };
+    let mut s = Service::default();
+    s.run(&Txn { guards: vec![], apply: vec![put(epoch_key(), &1, None)] });
+    let old = guard(epoch_key(), s.revision);
+    s.run(&submit_txn("wk-2", &record));
+    let version = s.revision;
+    s.run(&Txn { guards: vec![old.clone()], apply: vec![put(epoch_key(), &2, None)] });
+    let hire = HireRecord { machine_type: "x".into(), zone: "z".into(), spot: true, count: 2, machines: None };
+    assert!(!s.run(&complete_txn(&old, "wk-2", version, 1)));
+    assert!(!s.run(&hire_txn(&old, "a-1-1", 0, &hire)));
+    // The current leader's request is stored before the call, and once only: names are unique for ever.
+    let now = guard(epoch_key(), s.revision);
+    assert!(s.run(&hire_txn(&now, "a-1-1", 0, &hire)) && !s.run(&hire_txn(&now, "a-1-1", 0, &hire)));
+    // Without an answer it stays open, to be repeated under the same name; an answer closes it.
+    let version = s.revision;
+    let answered = HireRecord { machines: Some(Vec::new()), ..hire };
+    assert!(s.run(&hire_txn(&now, "a-1-1", version, &answered)) && !s.has(hire_key("a-1-1")));
+}
+
+#[test]
+fn a_process_that_is_back_at_once_is_not_its_predecessor() {
+    let of = |node: &str, incarnation| LeaderRecord { node: node.into(), incarnation };
+    let me = of("a", 2);
+    assert!(of("a", 1).ended_before(&me));
+    assert!(!me.ended_before(&me) && !of("b", 1).ended_before(&me));
+    // Its claim: the predecessor's late one and a repeated one of its own fail.
+    let mut s = Service::default();
+    let mut mirror = Mirror::default();
+    let (old, record) = claim_txn(&mirror, &of("a", 1), 1).unwrap();
+    assert!(s.run(&old));
+    let watched = |record: &EpochRecord, version| {
+        let leader = Value::serialized(&record.leader).unwrap();
+        let epoch = Value::serialized(record).unwrap();
+        vec![
+            Event::Put { put: leader_key(), value: leader, version },
+            Event::Put { put: epoch_key(), value: epoch, version },
+        ]
+    };
+    mirror.apply(s.revision, &watched(&record, s.revision));
+    let (mine, record) = claim_txn(&mirror, &me, 2).unwrap();
+    assert!(s.run(&mine) && !s.run(&old) && !s.run(&mine));
+    // Nobody else takes the leadership from it, though the mirror shows which versions to name.
+    mirror.apply(s.revision, &watched(&record, s.revision));
+    assert!(claim_txn(&mirror, &of("b", 1), 3).is_none());
+}
+
+#[test]
+fn bits_survive_as_text() {
+    let bits = vec![0, 255, 16, 7];
+    assert_eq!(text_to_bits(&bits_to_text(&bits)).unwrap(), bits);
+    assert!(text_to_bits("zz").is_none());
+}
