--- /dev/null
+++ b/benches/load/store.rs
@@ -0,0 +1,175 @@
+//! A stand-in for the state service: one map in memory, spoken to over the wire protocol.
+
+use actix_web::{web, HttpResponse};
+use ciborium::Value;
+use hollowswitch::protocol::{decode, encode, Change, Event, Item, LeaseReply, Page, Txn, TxnReply, Watched};
+use serde::Deserialize;
+use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// How many changes a watch can be behind.
+const HISTORY: usize = 10_000;
+
+/// The content of the store.
+#[derive(Default)]
+struct Content {
+    revision: u64,
+    leases: u64,
+    keys: BTreeMap<String, (Value, u64)>,
+    history: VecDeque<Event>,
+}
+
+/// The stand-in.
+pub struct Store {
+    content: Mutex<Content>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Store { content: Mutex::default(), changed: watch::channel(0).0 }
+    }
+}
+
+/// What a listing or a watch asks for.
+#[derive(Deserialize)]
+struct Query {
+    starts: String,
+    #[serde(default)]
+    after: String,
+    #[serde(default)]
+    limit: usize,
+    #[serde(default, rename = "holdMs")]
+    hold_ms: u64,
+}
+
+fn cbor<T: serde::Serialize>(status: u16, body: &T) -> HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(status).expect("a status of the protocol");
+    HttpResponse::build(status).content_type("application/cbor").body(encode(body))
+}
+
+fn missing(revision: u64) -> HttpResponse {
+    cbor(404, &TxnReply { failed: Vec::new(), revision })
+}
+
+impl Content {
+    fn change(&mut self, change: Change) {
+        let version = self.revision;
+        let event = match change {
+            Change::Put { put, value, .. } => {
+                self.keys.insert(put.clone(), (value.clone(), version));
+                Event::Put { put, value, version }
+            }
+            Change::Delete { key } => {
+                self.keys.remove(&key);
+                Event::Delete { key, version }
+            }
+        };
+        self.history.push_back(event);
+        if self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
+    }
+
+    fn run(&mut self, txn: Txn) -> HttpResponse {
+        let version = |key: &str| self.keys.get(key).map_or(0, |(_, version)| *version);
+        let failed: Vec<String> =
+            txn.guards.iter().filter(|g| version(&g.key) != g.version).map(|g| g.key.clone()).collect();
+        if !failed.is_empty() {
+            return cbor(409, &TxnReply { failed, revision: self.revision });
+        }
+        self.revision += !txn.apply.is_empty() as u64;
+        for change in txn.apply {
+            self.change(change);
+        }
+        cbor(200, &TxnReply { failed: Vec::new(), revision: self.revision })
+    }
+
+    fn page(&self, query: &Query) -> Page {
+        let after = if query.after.is_empty() {
+            Bound::Included(query.starts.clone())
+        } else {
+            Bound::Excluded(query.after.clone())
+        };
+        let mut rows = self.keys.range((after, Bound::Unbounded)).take_while(|(key, _)| key.starts_with(&query.starts));
+        let items = rows.by_ref().take(query.limit);
+        let items =
+            items.map(|(key, (value, version))| Item { key: key.clone(), value: value.clone(), version: *version });
+        let items = items.collect();
+        Page { items, more: rows.next().is_some(), revision: self.revision }
+    }
+
+    fn events_after(&self, revision: u64, prefix: &str) -> Vec<Event> {
+        let newer = |event: &&Event| match event {
+            Event::Put { put, version, .. } => *version > revision && put.starts_with(prefix),
+            Event::Delete { key, version } => *version > revision && key.starts_with(prefix),
+        };
+        self.history.iter().filter(newer).cloned().collect()
+    }
+}
+
+impl Store {
+    fn content(&self) -> std::sync::MutexGuard<'_, Content> {
+        self.content.lock().expect("no handler panics")
+    }
+}
+
+async fn multi(store: web::Data<Store>, body: web::Bytes) -> HttpResponse {
+    let Some(txn) = decode::<Txn>(&body) else { return HttpResponse::BadRequest().finish() };
+    let mut content = store.content();
+    let response = content.run(txn);
+    store.changed.send_replace(content.revision);
+    response
+}
+
+async fn get(store: web::Data<Store>, key: web::Path<String>) -> HttpResponse {
+    let content = store.content();
+    let Some((value, version)) = content.keys.get(key.as_str()) else { return missing(content.revision) };
+    cbor(200, &Item { key: key.into_inner(), value: value.clone(), version: *version })
+}
+
+async fn list(store: web::Data<Store>, query: web::Query<Query>) -> HttpResponse {
+    cbor(200, &store.content().page(&query))
+}
+
+async fn watched(store: web::Data<Store>, query: web::Query<Query>) -> HttpResponse {
+    let after = query.after.parse().unwrap_or(0);
+    let until = Instant::now() + Duration::from_millis(query.hold_ms);
+    let mut changed = store.changed.subscribe();
+    loop {
+        let (events, revision) = {
+            let content = store.content();
+            (content.events_after(after, &query.starts), content.revision)
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        if !events.is_empty() || left.is_zero() {
+            return cbor(200, &Watched { revision, events });
+        }
+        let _ = tokio::time::timeout(left, changed.changed()).await;
+    }
+}
+
+async fn open_lease(store: web::Data<Store>) -> HttpResponse {
+    let mut content = store.content();
+    content.leases += 1;
+    cbor(200, &LeaseReply { lease: content.leases })
+}
+
+async fn renew_lease() -> HttpResponse {
+    HttpResponse::Ok().finish()
+}
+
+/// The routes of the state service. Its leases do not end: no controller ends in these runs.
+pub fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/multi", web::post().to(multi))
+        .route("/keys", web::get().to(list))
+        .route("/keys/{key:.*}", web::get().to(get))
+        .route("/watch", web::get().to(watched))
+        .route("/holds", web::post().to(open_lease))
+        .route("/holds/{id}/extend", web::post().to(renew_lease))
+        .route("/holds/{id}", web::delete().to(renew_lease));
+}
