A report that tells nothing new asks for no round; rounds follow what is due

Cause: every report woke the leader's loop, so that a round with a scan of all machines for overdue ones ran every 20 ms. Now a report asks for one only where something may be placed, sent or logged; the scan runs with the tick, and again only while more are overdue than may be asked; cancellations, releases and a new leader's rebuild ask for one at once.

--- a/src/node/controller.rs
+++ b/src/node/controller.rs
@@ -42,6 +42,7 @@
     pub(super) tick: u64,
     pub(super) reconsider: u64,
     pub(super) place: u64,
+    pub(super) probe: u64,
 }
 
 /// What a leader's round brings.
@@ -430,6 +431,11 @@
         }
     }
 
+    /// Whether a round should follow a report at once. Nothing follows from one that tells nothing new.
+    pub(super) fn needs_pass(&self) -> bool {
+        self.scheduler.as_ref().is_some_and(Scheduler::needs_pass)
+    }
+
     /// The checks behind a 422.
     pub(super) fn impossible(&self, s: &JobSpec) -> Option<&'static str> {
         let Some(team) = self.settings.platform.deployment.teams.iter().find(|t| t.name == s.team) else {
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -66,7 +66,10 @@
         let mut controller = self.controller.borrow_mut();
         controller.lead_event(Event::Read { sent, revision: version });
         match wait {
-            Ok(Ok(_)) if controller.term().is_some() => controller.rebuild(epoch),
+            Ok(Ok(_)) if controller.term().is_some() => {
+                controller.rebuild(epoch);
+                self.urgent.notify_one();
+            }
             _ => controller.lead_event(Event::Ended),
         }
     }
@@ -113,7 +116,8 @@
         let most = (connections / 16).clamp(8, 64);
         let flying = Rc::new(Cell::new(0usize));
         loop {
-            let _ = tokio::time::timeout(Duration::from_millis(TICK_MS), self.urgent.notified()).await;
+            let wait_ms = self.controller.borrow().next_pass_in_ms();
+            let _ = tokio::time::timeout(Duration::from_millis(wait_ms), self.urgent.notified()).await;
             let pass = self.controller.borrow_mut().pass(most.saturating_sub(flying.get()), most / 4);
             let sends = match pass {
                 Pass::Sends(sends) => sends,
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,7 +9,7 @@
 mod user_requests;
 
 use self::controller::{
-    over_view, Clock, ControllerState, Pass, UnregisteredMachine, FLUSH_MS, PASS_MS, TICK_MS, UNREGISTERED_LIMIT,
+    over_view, Clock, ControllerState, Pass, UnregisteredMachine, FLUSH_MS, PASS_MS, UNREGISTERED_LIMIT,
 };
 use crate::cloud::{CloudClient, Rented, RELEASE_MOST};
 use crate::config::Settings;
@@ -391,9 +391,11 @@
 impl Handler<WorkerReport> for Node {
     type Result = MessageResult<WorkerReport>;
     fn handle(&mut self, m: WorkerReport, _: &mut Self::Context) -> Self::Result {
-        self.shared.urgent.notify_one();
         let mut controller = self.shared.controller.borrow_mut();
         let answer = controller.report(&m.0);
+        if controller.needs_pass() {
+            self.shared.urgent.notify_one();
+        }
         MessageResult(WorkerResponse { answer, valid_until: controller.answer_valid_until() })
     }
 }
--- a/src/node/persistence.rs
+++ b/src/node/persistence.rs
@@ -42,10 +42,26 @@
         }
         let Some(scheduler) = self.scheduler.as_mut() else { return Pass::Nothing };
         let mut sends = if direct { scheduler.direct(room) } else { Vec::new() };
-        sends.extend(scheduler.probes((room - sends.len().min(room)).min(probes)));
+        if now >= self.due.probe {
+            let allowed = (room - sends.len().min(room)).min(probes);
+            let found = scheduler.probes(allowed);
+            // Who is overdue is a question of time, and to ask it goes over all machines; more wait only after a full round.
+            self.due.probe = if found.len() < allowed { now + TICK_MS } else { now };
+            sends.extend(found);
+        }
         Pass::Sends(sends)
     }
 
+    /// When the next round is due: at the next tick, or as soon as something may be placed.
+    pub(super) fn next_pass_in_ms(&self) -> u64 {
+        let changed = self.scheduler.as_ref().is_some_and(Scheduler::has_changed);
+        if changed && self.authority() == Authority::Full {
+            self.due.place.saturating_sub(self.now()).clamp(1, TICK_MS)
+        } else {
+            TICK_MS
+        }
+    }
+
     /// The answer to a message to a worker. One for an earlier term means nothing to this one.
     pub(super) fn direct_answer(&mut self, term: Option<Term>, sent: &Direct, answer: Option<&Report>) {
         let now = self.now();
--- a/src/node/provisioning.rs
+++ b/src/node/provisioning.rs
@@ -187,6 +187,7 @@
                 }
                 controller.gone.insert(n);
             }
+            self.urgent.notify_one();
         } else {
             tracing::info!(machines = ?names, "release not confirmed");
         }
--- a/src/node/user_requests.rs
+++ b/src/node/user_requests.rs
@@ -137,6 +137,7 @@
             controller.notices.add(id, over.tasks, revision);
         }
         self.cancelled.notify_one();
+        self.urgent.notify_one();
         self.stops_known(revision).await;
         Answer::Job(200, over_view(id, over))
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -200,6 +200,16 @@
         self.job_index.contains_key(job)
     }
 
+    /// Whether something may be placed that could not be before.
+    pub fn has_changed(&self) -> bool {
+        self.changed
+    }
+
+    /// Whether something may be placed or is to be sent or logged.
+    pub fn needs_pass(&self) -> bool {
+        self.changed || !self.outbox.is_empty() || self.log.has_wanted()
+    }
+
     /// Jobs at work.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
         self.jobs.iter().flatten()
--- a/src/scheduler/start_log.rs
+++ b/src/scheduler/start_log.rs
@@ -37,6 +37,11 @@
     pub(super) fn wants(&mut self, job: usize, task: u32, machine: usize, attempt: u64) {
         self.wanted.push_back(Line { job, task, machine, attempt });
     }
+
+    /// Whether lines wait to be written.
+    pub(super) fn has_wanted(&self) -> bool {
+        !self.wanted.is_empty()
+    }
 }
 
 /// A write that makes starts durable.
