Who knows of a cancellation: notices in their own order, passed on, and waited for at every node

Found by reading the code, with cancellations in numbers in mind. Three ways in which a user could be answered before the leader knew, so that it might still start a task: - of two cancellations under way at once the later one may be answered first; a peer that had been told of it was taken to know of the earlier one, whose revision is lower; - a notice that was dropped because there were too many counted as told with the next one that was; - a request repeated at another node was answered by that node's own knowledge. Notices now have a position of their own; a dropped one counts only through the store; a node that was told passes the word on to the leader, and every node waits for it.

Tests: a_peer_that_was_told_of_a_later_cancellation_does_not_know_of_an_earlier_one, a_notice_that_was_not_kept_is_known_only_through_the_store, and node/tests/cancellations.rs.

--- a/src/node/controller.rs
+++ b/src/node/controller.rs
@@ -336,7 +336,7 @@
         if let Some(counts) = v.counts.filter(|_| self.scheduler.is_none() && v.epoch >= self.newest_epoch) {
             self.counts = counts.into_iter().map(|(id, done, running)| (id, (done, running))).collect();
         }
-        self.notices.acknowledged(&v.node, v.revision);
+        self.notices.mirrored(&v.node, v.revision);
         self.peer_health.told(v.node, v.state_ok, now);
     }
 
@@ -361,22 +361,59 @@
         }
     }
 
-    /// Another node's word of cancellations; tells how far this one's mirror is.
+    /// A cancellation is durable at a revision; the others have to be told of it.
+    pub(super) fn note_cancellation(&mut self, cancelled: CancelledJob) -> Notice {
+        self.cancelled(&cancelled.job, cancelled.tasks);
+        let known = self.notices.find(&cancelled.job);
+        known.unwrap_or_else(|| self.notices.add(cancelled))
+    }
+
+    /// A final state that was read from the store. Where it is a cancellation that the leader may not know of yet, it has to
+    /// be told.
+    pub(super) fn learn_final_state(&mut self, id: &str, read: &Versioned<OverRecord>) {
+        if read.record.cancelled && self.leader_may_miss(read.version) {
+            let cancelled = CancelledJob { job: id.to_string(), tasks: read.record.tasks, revision: read.version };
+            self.note_cancellation(cancelled);
+        } else {
+            self.mirror.remember_over(id, read.record);
+        }
+    }
+
+    /// Another node's word of cancellations; tells how far this one's mirror is. It is passed on: the path from that node
+    /// to the leader may be cut, and a user whose request is repeated here is answered once the leader knows, too.
     pub(super) fn take_cancelled(&mut self, told: &Cancelled) -> u64 {
-        for (id, tasks) in told.jobs.iter().filter(|(id, _)| wire::job_id(id)) {
-            self.cancelled(id, *tasks);
+        for cancelled in told.jobs.iter().filter(|cancelled| wire::job_id(&cancelled.job)) {
+            if self.leader_may_miss(cancelled.revision) {
+                self.note_cancellation(cancelled.clone());
+            } else {
+                self.cancelled(&cancelled.job, cancelled.tasks);
+            }
         }
         self.mirror.revision
     }
 
-    /// Whether no leader can start anything any more of a job whose cancellation is durable at a revision: the leader of
-    /// then has been told, or its leader lease has ended. A later one has read the store since.
-    pub(super) fn stops_known(&self, revision: u64) -> bool {
-        let Some(leader) = self.mirror.leader.as_ref() else { return self.mirror.revision >= revision };
-        self.mirror.revision >= revision
-            && (leader.record == self.me
-                || leader.version > revision
-                || self.notices.known_by(&leader.record.node) >= revision)
+    /// The notice of a job's cancellation while a leader may not know of it.
+    pub(super) fn unsettled_cancellation(&self, job: &str) -> Option<Notice> {
+        self.notices.find(job).filter(|notice| !self.stops_known(*notice))
+    }
+
+    /// Whether a leader may start tasks of a job whose cancellation became durable at a revision, for all that the mirrors
+    /// tell: the leader of then may not have heard of it. A later one has read the store since.
+    pub(super) fn leader_may_miss(&self, revision: u64) -> bool {
+        let leader_misses = self.mirror.leader.as_ref().is_some_and(|leader| {
+            leader.record != self.me
+                && leader.version <= revision
+                && self.notices.mirrored_by(&leader.record.node) < revision
+        });
+        self.mirror.revision < revision || leader_misses
+    }
+
+    /// Whether no leader can start anything any more of a job whose cancellation is durable: the leader of then has been
+    /// told, or its leader lease has ended.
+    pub(super) fn stops_known(&self, notice: Notice) -> bool {
+        let told = |leader: &Versioned<LeaderRecord>| self.notices.was_told(&leader.record.node, notice);
+        let mirrored = self.mirror.revision >= notice.revision();
+        mirrored && (!self.leader_may_miss(notice.revision()) || self.mirror.leader.as_ref().is_some_and(told))
     }
 
     /// Notes that this node runs. After it stood still, or had no processor, what it has not heard meanwhile says nothing of
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -16,7 +16,7 @@
 use crate::fleet::{Fleet, RentalRequest};
 use crate::leader::{Authority, Event, Leadership, Term};
 use crate::pacer::{users_share, Pacer};
-use crate::peer::{self, CancellationNotices, Cancelled, PeerHealth, View};
+use crate::peer::{self, CancellationNotices, Cancelled, CancelledJob, Notice, PeerHealth, View};
 use crate::permit::while_permitted;
 use crate::protocol::{
     self as wire, JobSpec, JobState, JobView, Kind, MachineType, RentRequest, Report, ReportReply, Txn,
@@ -25,7 +25,7 @@
 use crate::scheduler::{Arrival, Direct, MachineState, Offer, Origin, Params, ReportOutcome, Scheduler};
 use crate::store::{
     self, guard, put, Decided, LeaderRecord, LiveRecord, Mirror, MirrorChange, OverRecord, RentalRecord, StoreClient,
-    StoreError,
+    StoreError, Versioned,
 };
 use crate::worker;
 use actix::prelude::*;
@@ -274,15 +274,17 @@
         loop {
             let _ = tokio::time::timeout(Duration::from_millis(500), self.cancelled.notified()).await;
             for p in &peers {
-                let (told, revision) = {
+                let (message, last) = {
                     let controller = self.controller.borrow();
-                    let Some((jobs, revision)) = controller.notices.unknown_to(&p.node) else { continue };
-                    (Cancelled { jobs }, revision)
+                    let Some((jobs, last)) = controller.notices.unknown_to(&p.node) else { continue };
+                    (Cancelled { jobs }, last)
                 };
                 let (me, node, addr) = (self.clone(), p.node.clone(), p.peer_addr);
                 actix::spawn(async move {
-                    if let Some(mirrored) = peer::tell_cancelled(&me.http, addr, &told).await {
-                        me.controller.borrow_mut().notices.acknowledged(&node, revision.max(mirrored));
+                    if let Some(revision) = peer::tell_cancelled(&me.http, addr, &message).await {
+                        let notices = &mut me.controller.borrow_mut().notices;
+                        notices.told(&node, last);
+                        notices.mirrored(&node, revision);
                     }
                 });
             }
@@ -413,6 +415,7 @@
     type Result = MessageResult<PeerCancelled>;
     fn handle(&mut self, m: PeerCancelled, _: &mut Self::Context) -> Self::Result {
         self.shared.urgent.notify_one();
+        self.shared.cancelled.notify_one();
         MessageResult(self.shared.controller.borrow_mut().take_cancelled(&m.0))
     }
 }
--- a/src/node/tests/mod.rs
+++ b/src/node/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Whole controllers in a scripted world.
 
+mod cancellations;
 mod meetings;
 mod schedules;
 mod world;
--- a/src/node/tests/world/controllers.rs
+++ b/src/node/tests/world/controllers.rs
@@ -288,16 +288,19 @@
         for (a, b) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)] {
             let apart = self.island.is_some_and(|(_, n)| n == a || n == b)
                 || self.without_peers.contains(&a)
-                || self.without_peers.contains(&b);
+                || self.without_peers.contains(&b)
+                || self.paths_cut.contains(&(a, b));
             if apart || now < self.nodes[a].frozen_until.max(self.nodes[b].frozen_until) {
                 continue;
             }
             let name = format!("drover-{b}");
             let Some(hint) = self.nodes[a].controller.as_ref().map(|c| c.notices.unknown_to(&name)) else { continue };
             let Some(other) = self.nodes[b].controller.as_mut() else { continue };
-            if let Some((jobs, revision)) = hint {
-                let mirrored = other.take_cancelled(&crate::peer::Cancelled { jobs });
-                self.nodes[a].controller.as_mut().unwrap().notices.acknowledged(&name, revision.max(mirrored));
+            if let Some((jobs, last)) = hint {
+                let revision = other.take_cancelled(&crate::peer::Cancelled { jobs });
+                let notices = &mut self.nodes[a].controller.as_mut().unwrap().notices;
+                notices.told(&name, last);
+                notices.mirrored(&name, revision);
             }
             if now % 900 < STEP {
                 let view = self.nodes[b].controller.as_ref().unwrap().own_view();
@@ -309,10 +312,10 @@
     pub(super) fn answer_users(&mut self) {
         let now = self.now();
         for job in self.jobs.values_mut() {
-            let Some((node, revision, since)) = job.answering else { continue };
+            let Some((node, notice, since)) = job.answering else { continue };
             let most = 2500 * 1001 / 1000;
             let known = match self.nodes[node].controller.as_ref() {
-                Some(c) => c.stops_known(revision) || now > since + most,
+                Some(c) => c.stops_known(notice) || now > since + most,
                 // Its user hears nothing from it and asks another, to which the job is cancelled.
                 None => now > since + 5000,
             };
--- a/src/node/tests/world/mod.rs
+++ b/src/node/tests/world/mod.rs
@@ -14,6 +14,7 @@
 use crate::leader::{Authority, Event as LeadEvent, Role};
 use crate::node::controller::{Clock, ControllerState, Pass};
 use crate::node::WorkerAnswer;
+use crate::peer::{CancelledJob, Notice};
 use crate::protocol::{
     split_task, Change, Command, Event, ExitReason, Guard, JobSpec, Kind, MachineType, Report, ReportReply, TaskReport,
     TaskState, Txn,
@@ -132,7 +133,7 @@
     pub told: Option<u64>,
     asked: bool,
     /// Durable at a revision; the node answers when no start can come any more.
-    answering: Option<(usize, u64, u64)>,
+    answering: Option<(usize, Notice, u64)>,
     placed_at: u64,
 }
 
@@ -161,6 +162,8 @@
     pub without_workers: BTreeSet<usize>,
     /// Controllers that reach no other controller.
     pub without_peers: BTreeSet<usize>,
+    /// Pairs of controllers of which the first does not reach the second.
+    pub paths_cut: BTreeSet<(usize, usize)>,
     pub fetch_ms: u64,
     /// Commands sent straight to workers that are held up take at least this long.
     pub held_ms: u64,
@@ -226,6 +229,7 @@
             island: None,
             without_workers: BTreeSet::new(),
             without_peers: BTreeSet::new(),
+            paths_cut: BTreeSet::new(),
             fetch_ms: 800,
             held_ms: 2000,
             write_ms: STEP,
@@ -322,9 +326,8 @@
         let Some(live) = controller.mirror.live.get(id).cloned() else { return false };
         let Decided::Applied(revision) = self.service.decide(&store::abort_txn(id, &live)) else { return false };
         let tasks = live.record.spec.tasks;
-        controller.cancelled(id, tasks);
-        controller.notices.add(id, tasks, revision);
-        self.jobs.get_mut(id).unwrap().answering = Some((node, revision, now));
+        let notice = controller.note_cancellation(CancelledJob { job: id.into(), tasks, revision });
+        self.jobs.get_mut(id).unwrap().answering = Some((node, notice, now));
         true
     }
 
--- a/src/node/user_requests.rs
+++ b/src/node/user_requests.rs
@@ -15,9 +15,9 @@
     }
 
     /// A final state as the store has it.
-    async fn final_state(&self, id: &str) -> Result<store::Versioned<OverRecord>, StoreError> {
+    async fn final_state(&self, id: &str) -> Result<Versioned<OverRecord>, StoreError> {
         let read = self.noted(self.store.get::<OverRecord>(&store::over_key(id)).await)?;
-        self.controller.borrow_mut().mirror.remember_over(id, read.record);
+        self.controller.borrow_mut().learn_final_state(id, &read);
         Ok(read)
     }
 
@@ -131,20 +131,26 @@
 
     /// Confirms a cancellation that is durable at a revision.
     async fn confirm(&self, id: &str, over: OverRecord, revision: u64) -> Answer {
-        {
-            let mut controller = self.controller.borrow_mut();
-            controller.cancelled(id, over.tasks);
-            controller.notices.add(id, over.tasks, revision);
-        }
+        let cancelled = CancelledJob { job: id.to_string(), tasks: over.tasks, revision };
+        self.controller.borrow_mut().note_cancellation(cancelled);
         self.cancelled.notify_one();
         self.urgent.notify_one();
-        self.stops_known(revision).await;
+        self.answer_final(id, over).await
+    }
+
+    /// The answer to a request to cancel a job that is final. Of one that is cancelled nothing can start any more by then:
+    /// a request that was repeated at another node was once answered before the leader knew.
+    async fn answer_final(&self, id: &str, over: OverRecord) -> Answer {
+        let unsettled = self.controller.borrow().unsettled_cancellation(id);
+        if let Some(notice) = unsettled {
+            self.stops_known(notice).await;
+        }
         Answer::Job(200, over_view(id, over))
     }
 
-    /// Waits until no start of a job can be sent any more whose cancellation is durable at a revision: until the leader
-    /// has been told, mostly milliseconds, or its authority to start has surely ended without a word.
-    async fn stops_known(&self, revision: u64) {
+    /// Waits until no start of a cancelled job can be sent any more: until the leader has been told, mostly milliseconds,
+    /// or its authority to start has surely ended without a word.
+    async fn stops_known(&self, notice: Notice) {
         let (begun, most) = {
             let controller = self.controller.borrow();
             (controller.now(), (controller.settings.operator.hold_s * 1000.0 * (1.0 + crate::leader::DRIFT)) as u64)
@@ -152,7 +158,7 @@
         loop {
             {
                 let controller = self.controller.borrow();
-                if controller.stops_known(revision) || controller.now() > begun + most {
+                if controller.stops_known(notice) || controller.now() > begun + most {
                     return;
                 }
             }
@@ -162,13 +168,15 @@
 
     pub(super) async fn abort(self, id: String) -> Answer {
         for _ in 0..3 {
-            if let Some(over) = self.controller.borrow().mirror.over(&id) {
-                return Answer::Job(200, over_view(&id, over));
+            let known = self.controller.borrow().mirror.over(&id);
+            if let Some(over) = known {
+                return self.answer_final(&id, over).await;
             }
             let live = self.controller.borrow().mirror.live.get(&id).cloned();
             let Some(live) = live else {
                 match self.clone().poll(id.clone()).await {
-                    Answer::Job(..) if self.controller.borrow().mirror.live.contains_key(&id) => continue,
+                    // Unfinished after all, or final, as is known from now on.
+                    Answer::Job(..) => continue,
                     other => return other,
                 }
             };
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,12 +1,15 @@
 //! What the controllers tell each other, as bincode.
 
+mod notices;
 #[cfg(test)]
 mod tests;
 
+pub use notices::{CancellationNotices, Notice};
+
 use crate::worker::exchange;
 use awc::http::Method;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,53 +33,22 @@
     pub counts: Option<Vec<(String, u32, u32)>>,
 }
 
-/// Cancellations that are durable: jobs and their numbers of tasks. Such a word can only stop, never start anything, and
-/// losing it costs nothing but time.
+/// A job whose cancellation is durable.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelledJob {
+    /// Job.
+    pub job: String,
+    /// Its number of tasks.
+    pub tasks: u32,
+    /// Revision at which its cancellation became durable.
+    pub revision: u64,
+}
+
+/// Cancellations that are durable. Such a word can only stop, never start anything, and losing it costs nothing but time.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cancelled {
     /// Jobs.
-    pub jobs: Vec<(String, u32)>,
-}
-
-/// Most cancellations kept for others that have not been told; the rest they learn from the store.
-const HINTS: usize = 1000;
-
-/// What this node has to tell of its users' cancellations, and which of the others know.
-#[derive(Debug, Default)]
-pub struct CancellationNotices {
-    /// Job, tasks, revision of the cancellation, the oldest first.
-    jobs: VecDeque<(String, u32, u64)>,
-    /// Up to which revision each of the others knows.
-    known: HashMap<String, u64>,
-}
-
-impl CancellationNotices {
-    /// A cancellation became durable at a revision.
-    pub fn add(&mut self, job: &str, tasks: u32, revision: u64) {
-        self.jobs.push_back((job.to_string(), tasks, revision));
-        if self.jobs.len() > HINTS {
-            self.jobs.pop_front();
-        }
-    }
-
-    /// What a node has yet to be told, and up to which revision it knows then.
-    pub fn unknown_to(&self, node: &str) -> Option<(Vec<(String, u32)>, u64)> {
-        let known = self.known_by(node);
-        let some: Vec<_> = self.jobs.iter().filter(|(.., revision)| *revision > known).collect();
-        let last = some.iter().map(|(.., revision)| *revision).max()?;
-        Some((some.into_iter().map(|(job, tasks, _)| (job.clone(), *tasks)).collect(), last))
-    }
-
-    /// A node knows of all cancellations up to a revision: it was told, or its mirror is there.
-    pub fn acknowledged(&mut self, node: &str, revision: u64) {
-        let known = self.known.entry(node.to_string()).or_default();
-        *known = revision.max(*known);
-    }
-
-    /// Up to which revision a node knows.
-    pub fn known_by(&self, node: &str) -> u64 {
-        self.known.get(node).copied().unwrap_or(0)
-    }
+    pub jobs: Vec<CancelledJob>,
 }
 
 /// A node that reaches no other for so long, nor is refused by one, is apart.
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -1,7 +1,12 @@
 //! What a node knows of the others.
 
+use super::notices::{MESSAGE_LIMIT, NOTICE_LIMIT};
 use super::*;
 
+fn cancelled(job: &str, revision: u64) -> CancelledJob {
+    CancelledJob { job: job.into(), tasks: 3, revision }
+}
+
 #[test]
 fn a_node_without_the_store_knows_whether_it_is_alone_with_that() {
     let mut o = PeerHealth::default();
@@ -25,29 +30,65 @@
     assert_eq!(decode::<View>(&encode(&v)).unwrap().counts, v.counts);
     assert!(decode::<View>(&[255; 40]).is_none());
     assert!(decode::<View>(&[]).is_none());
-    let told = Cancelled { jobs: vec![("wk-1".into(), 3)] };
+    let told = Cancelled { jobs: vec![cancelled("wk-1", 8)] };
     assert_eq!(decode::<Cancelled>(&encode(&told)).unwrap(), told);
     assert!(decode::<Cancelled>(&[255; 40]).is_none());
 }
 
 #[test]
 fn a_cancellation_is_told_until_the_other_knows() {
-    let mut h = CancellationNotices::default();
-    assert!(h.unknown_to("b").is_none());
-    h.add("wk-1", 3, 40);
-    h.add("wk-2", 5, 42);
-    let (jobs, upto) = h.unknown_to("b").unwrap();
-    assert_eq!((jobs.len(), upto), (2, 42));
+    let mut notices = CancellationNotices::default();
+    assert!(notices.unknown_to("b").is_none());
+    let first = notices.add(cancelled("wk-1", 40));
+    let second = notices.add(cancelled("wk-2", 42));
+    let (jobs, last) = notices.unknown_to("b").unwrap();
+    assert_eq!((jobs.len(), last), (2, second));
     // Its mirror has seen the first; a word of less takes nothing back.
-    h.acknowledged("b", 41);
-    h.acknowledged("b", 7);
-    assert_eq!(h.unknown_to("b").unwrap().0, vec![("wk-2".to_string(), 5)]);
-    h.acknowledged("b", upto);
-    assert!(h.unknown_to("b").is_none() && h.known_by("b") == 42);
-    assert_eq!(h.unknown_to("c").unwrap().0.len(), 2);
-    // One that is never reached costs bounded memory.
-    (0..5000).for_each(|n| h.add("wk-3", 1, 100 + n));
-    assert_eq!(h.unknown_to("c").unwrap().0.len(), HINTS);
+    notices.mirrored("b", 41);
+    notices.mirrored("b", 7);
+    assert_eq!(notices.unknown_to("b").unwrap().0, vec![cancelled("wk-2", 42)]);
+    assert!(notices.is_known_by("b", first) && !notices.is_known_by("b", second));
+    notices.told("b", last);
+    assert!(notices.unknown_to("b").is_none() && notices.is_known_by("b", second));
+    assert_eq!(notices.unknown_to("c").unwrap().0.len(), 2);
+    // One that is never reached costs bounded memory, and messages are bounded.
+    (0..NOTICE_LIMIT as u64 * 2).for_each(|n| {
+        notices.add(cancelled("wk-3", 100 + n));
+    });
+    let mut messages = 0;
+    while let Some((jobs, last)) = notices.unknown_to("c") {
+        assert!(jobs.len() <= MESSAGE_LIMIT);
+        notices.told("c", last);
+        messages += 1;
+    }
+    assert_eq!(messages, NOTICE_LIMIT / MESSAGE_LIMIT);
+}
+
+#[test]
+fn a_peer_that_was_told_of_a_later_cancellation_does_not_know_of_an_earlier_one() {
+    let mut notices = CancellationNotices::default();
+    // Its transaction was the later one, but was answered first.
+    let later = notices.add(cancelled("wk-2", 42));
+    let (_, last) = notices.unknown_to("b").unwrap();
+    notices.told("b", last);
+    let earlier = notices.add(cancelled("wk-1", 40));
+    assert!(notices.is_known_by("b", later) && !notices.is_known_by("b", earlier));
+    assert_eq!(notices.unknown_to("b").unwrap().0, vec![cancelled("wk-1", 40)]);
+}
+
+#[test]
+fn a_notice_that_was_not_kept_is_known_only_through_the_store() {
+    let mut notices = CancellationNotices::default();
+    let lost = notices.add(cancelled("wk-1", 40));
+    for n in 0..NOTICE_LIMIT as u64 {
+        notices.add(cancelled("wk-2", 41 + n));
+    }
+    while let Some((_, last)) = notices.unknown_to("b") {
+        notices.told("b", last);
+    }
+    assert!(!notices.is_known_by("b", lost));
+    notices.mirrored("b", 40);
+    assert!(notices.is_known_by("b", lost));
 }
 
 #[test]
