--- a/src/api.rs
+++ b/src/api.rs
@@ -9,52 +9,21 @@
 };
 use crate::peer;
 use crate::protocol::{self as wire, decode, encode, JobSpec, Report, BODY_LIMIT};
+use crate::server::{self, Connections};
 use actix::Addr;
 use actix_web::http::ConnectionType;
-use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
+use actix_web::{web, App, HttpResponse};
+use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// What the handlers share.
-#[derive(Clone)]
 struct Door {
     node: Addr<Node>,
-    internal: SocketAddr,
-    limiter: Arc<Mutex<Limiter>>,
+    limiter: RefCell<Limiter>,
     connections: Connections,
 }
 
-/// Open connections, and how many may be kept.
-#[derive(Clone)]
-struct Connections {
-    open: Arc<AtomicUsize>,
-    most: usize,
-}
-
-/// A connection, counted until it closes.
-struct Connection(Arc<AtomicUsize>);
-
-impl Connections {
-    fn enter(&self) -> Connection {
-        self.open.fetch_add(1, Ordering::Relaxed);
-        Connection(self.open.clone())
-    }
-
-    /// Whether a worker's connection may be kept after its answer. Workers keep theirs between reports; where there are
-    /// more of them than sockets, those kept would leave none for the others, nor for users, checks and peers.
-    fn keep(&self) -> bool {
-        self.open.load(Ordering::Relaxed) * 4 <= self.most * 3
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 fn reply(status: u16, body: Vec<u8>) -> HttpResponse {
     let status = actix_web::http::StatusCode::from_u16(status).unwrap_or(actix_web::http::StatusCode::OK);
     HttpResponse::build(status).content_type("application/cbor").body(body)
@@ -91,15 +60,13 @@
         kind: Request,
         request: F,
     ) -> HttpResponse {
-        let enter = |l: &Mutex<Limiter>| l.lock().map(|mut l| l.enter(kind)).unwrap_or(true);
-        if !enter(&self.limiter) {
+        if !self.limiter.borrow_mut().enter(kind) {
             return later(429, "too many requests in progress", 1);
         }
         let from = Instant::now();
         let a = request.await.unwrap_or(Answer::Later(1));
-        if let Ok(mut l) = self.limiter.lock() {
-            l.leave(from.elapsed().as_millis() as u64, !matches!(a, Answer::Later(_)));
-        }
+        let served = !matches!(a, Answer::Later(_));
+        self.limiter.borrow_mut().leave(from.elapsed().as_millis() as u64, served);
         answer(a)
     }
 }
@@ -160,11 +127,7 @@
     r
 }
 
-async fn view(door: web::Data<Door>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
-    // Both addresses share one server; only the internal one leads here.
-    if request.app_config().local_addr() != door.internal {
-        return plain(404, "no such path");
-    }
+async fn view(door: web::Data<Door>, body: web::Bytes) -> HttpResponse {
     let Some(view) = peer::decode::<peer::View>(&body) else { return plain(400, "malformed") };
     match door.node.send(PeerView(view)).await {
         Ok(own) => HttpResponse::Ok().body(peer::encode(&own)),
@@ -172,10 +135,7 @@
     }
 }
 
-async fn cancelled(door: web::Data<Door>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
-    if request.app_config().local_addr() != door.internal {
-        return plain(404, "no such path");
-    }
+async fn cancelled(door: web::Data<Door>, body: web::Bytes) -> HttpResponse {
     let Some(told) = peer::decode::<peer::Cancelled>(&body) else { return plain(400, "malformed") };
     match door.node.send(PeerCancelled(told)).await {
         Ok(revision) => HttpResponse::Ok().body(peer::encode(&revision)),
@@ -192,47 +152,43 @@
     pub internal: SocketAddr,
 }
 
-/// The routes. What is asked most comes first: they are compared in this order, those with a variable part by a slow
-/// matcher.
-fn routes(config: &mut web::ServiceConfig) {
+/// The routes of users, workers and health checks. What is asked most comes first: they are compared in this order, those
+/// with a variable part by a slow matcher.
+fn public_routes(config: &mut web::ServiceConfig) {
     // A report lists everything on its machine; workers are not limited as users are.
     let report_limit = web::PayloadConfig::new(16 * BODY_LIMIT);
-    let peer_limit = || web::PayloadConfig::new(peer::LIMIT);
     config
         .service(web::resource("/hello").app_data(report_limit).route(web::post().to(hello)))
         .service(web::resource("/up").route(web::get().to(up)))
-        .service(web::resource("/peer/view").app_data(peer_limit()).route(web::post().to(view)))
-        .service(web::resource("/peer/cancelled").app_data(peer_limit()).route(web::post().to(cancelled)))
         .service(web::resource("/v1/jobs").route(web::post().to(submit)))
         .service(web::resource("/v1/jobs/{id}").route(web::get().to(poll)))
-        .service(web::resource("/v1/jobs/{id}/abort").route(web::post().to(abort)))
-        .default_service(web::to(|| async { plain(404, "no such path") }));
-}
-
-/// Serves both addresses until the process ends. `node` is called in the thread of the server's worker.
-pub async fn serve(
-    node: impl Fn() -> Addr<Node> + Clone + Send + 'static,
-    addresses: Addresses,
-    connections: usize,
-) -> std::io::Result<()> {
-    let open = Connections { open: Arc::default(), most: connections };
-    let counted = open.clone();
-    let limiter = Arc::new(Mutex::new(Limiter::new(connections / 4)));
-    let server = HttpServer::new(move || {
-        let door =
-            Door { node: node(), internal: addresses.internal, limiter: limiter.clone(), connections: open.clone() };
-        App::new().app_data(web::Data::new(door)).app_data(web::PayloadConfig::new(BODY_LIMIT)).configure(routes)
-    })
-    .on_connect(move |_, data| {
-        data.insert(counted.enter());
-    })
-    .workers(1)
-    .max_connections(connections)
-    .keep_alive(Duration::from_secs(75))
-    .client_request_timeout(Duration::from_secs(10))
-    .disable_signals()
-    .shutdown_timeout(0)
-    .bind(addresses.api)?;
-    let server = if addresses.internal == addresses.api { server } else { server.bind(addresses.internal)? };
-    server.run().await
+        .service(web::resource("/v1/jobs/{id}/abort").route(web::post().to(abort)));
+}
+
+/// The routes of the other controllers.
+fn peer_routes(config: &mut web::ServiceConfig) {
+    let limit = || web::PayloadConfig::new(peer::LIMIT);
+    config
+        .service(web::resource("/peer/view").app_data(limit()).route(web::post().to(view)))
+        .service(web::resource("/peer/cancelled").app_data(limit()).route(web::post().to(cancelled)));
+}
+
+/// Serves both addresses until the process ends, over a number of connections at most.
+pub async fn serve(node: Addr<Node>, addresses: Addresses, connections: usize) -> std::io::Result<()> {
+    let open = Connections::new(connections);
+    let limiter = RefCell::new(Limiter::new(connections / 4));
+    let door = web::Data::new(Door { node, limiter, connections: open.clone() });
+    let shared = addresses.api == addresses.internal;
+    let app = |public: bool, peers: bool| {
+        let app = App::new().app_data(door.clone()).app_data(web::PayloadConfig::new(BODY_LIMIT));
+        let app = if public { app.configure(public_routes) } else { app };
+        let app = if peers { app.configure(peer_routes) } else { app };
+        app.default_service(web::to(|| async { plain(404, "no such path") }))
+    };
+    let public = server::serve(addresses.api, app(true, shared), open.clone());
+    if shared {
+        return public.await;
+    }
+    let internal = server::serve(addresses.internal, app(false, true), open);
+    futures_util::future::try_join(public, internal).await.map(|_| ())
 }
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -1,18 +1,7 @@
 //! The doors.
 
 use super::*;
-
-#[test]
-fn more_workers_than_sockets_take_turns() {
-    let c = Connections { open: Arc::default(), most: 8 };
-    let mut open: Vec<Connection> = (0..6).map(|_| c.enter()).collect();
-    assert!(c.keep());
-    // The uppermost quarter is kept by nobody.
-    open.push(c.enter());
-    assert!(!c.keep());
-    open.truncate(6);
-    assert!(c.keep());
-}
+use std::time::Duration;
 
 #[test]
 fn a_user_who_is_told_to_come_back_is_told_when_and_may_go_elsewhere() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod protocol;
 pub mod rate;
 pub mod scheduler;
+pub mod server;
 pub mod store;
 pub mod worker;
--- a/src/node/controller.rs
+++ b/src/node/controller.rs
@@ -8,7 +8,7 @@
 /// Time between looks at what time alone brings.
 pub(super) const TICK_MS: u64 = 100;
 /// A longer time between two rounds means that the process stood still.
-const PAUSE_MS: u64 = 1000;
+pub(super) const PAUSE_MS: u64 = 1000;
 /// Least time between two rounds of placing and sending.
 pub(super) const PASS_MS: u64 = 20;
 /// Time between rounds of durable writes of the leader.
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -68,6 +68,7 @@
         match wait {
             Ok(Ok(_)) if controller.term().is_some() => {
                 controller.rebuild(epoch);
+                self.elected.notify_waiters();
                 self.urgent.notify_one();
             }
             _ => controller.lead_event(Event::Ended),
@@ -169,6 +170,7 @@
     /// Makes results durable and clears up, in batches.
     pub(super) async fn flush(self) {
         loop {
+            self.elected().await;
             pause(FLUSH_MS).await;
             let Some(epoch) = self.controller.borrow().write_guard() else { continue };
             self.flush_complete(&epoch).await;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -34,7 +34,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
-use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch, Notify};
 
@@ -119,6 +118,8 @@
     urgent: Rc<Notify>,
     /// Starts may wait for their lines in the log.
     logging: Rc<Notify>,
+    /// This node has begun to lead.
+    elected: Rc<Notify>,
 }
 
 /// How long a watch waits for a change.
@@ -131,6 +132,13 @@
 }
 
 impl Shared {
+    /// Waits until this node leads. The leader's loops do not run on followers, where their timers were most of the wake-ups.
+    async fn elected(&self) {
+        while self.controller.borrow().scheduler.is_none() {
+            self.elected.notified().await;
+        }
+    }
+
     /// Notes whether the state service answers.
     fn noted<T>(&self, r: Result<T, StoreError>) -> Result<T, StoreError> {
         if matches!(r, Ok(_) | Err(StoreError::Gone | StoreError::Busy)) {
@@ -340,6 +348,7 @@
             cancelled: Rc::new(Notify::new()),
             urgent: Rc::new(Notify::new()),
             logging: Rc::new(Notify::new()),
+            elected: Rc::new(Notify::new()),
         };
         Node { shared }
     }
@@ -422,15 +431,16 @@
 
 /// Runs a controller until its process ends.
 ///
-/// The node lives in the thread of the server's only worker: a request that crossed to another thread and back cost two
-/// wake-ups and four more system calls, more than everything else that is done for an unchanged report.
+/// Everything runs in one thread: a request that crossed to another one and back cost two wake-ups and four more system
+/// calls.
 pub fn run(settings: Settings) -> std::io::Result<()> {
     let platform = settings.platform.clone();
     // The rest is for calls to the store, the cloud, peers and workers, and for what is being closed.
     let connections = (platform.deployment.machine_limits.max_connections * 17 / 20).max(8);
-    let node = Arc::new(OnceLock::new());
-    // The server asks once for each of its addresses, always in its worker's thread.
-    let started = move || node.get_or_init(|| Node::new(settings.clone()).start()).clone();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let addresses = crate::api::Addresses { api: platform.api_addr, internal: platform.internal_addr };
-    actix::System::new().block_on(crate::api::serve(started, addresses, connections))
+    actix::System::with_tokio_rt(|| runtime).block_on(async move {
+        let node = Node::new(settings).start();
+        crate::api::serve(node, addresses, connections).await
+    })
 }
--- a/src/node/persistence.rs
+++ b/src/node/persistence.rs
@@ -1,9 +1,12 @@
 //! The leader's rounds and its books: what it sends, and the transactions that make its decisions durable.
 
-use super::controller::{ControllerState, Pass, FLUSH_MS, PASS_MS, TICK_MS};
+use super::controller::{ControllerState, Pass, FLUSH_MS, PASS_MS, PAUSE_MS, TICK_MS};
 use super::*;
 use crate::scheduler::{Append, DoneChunk};
 
+/// Time between two looks of a follower at whether its process stood still; shorter than what counts as a pause.
+const FOLLOWER_TICK_MS: u64 = PAUSE_MS / 2;
+
 impl ControllerState {
     /// The transaction that claims the next epoch, and its record; none if somebody leads.
     pub(super) fn claim(&mut self, lease: u64) -> Option<(Txn, store::EpochRecord)> {
@@ -54,8 +57,8 @@
 
     /// When the next round is due: at the next tick, or as soon as something may be placed.
     pub(super) fn next_pass_in_ms(&self) -> u64 {
-        let changed = self.scheduler.as_ref().is_some_and(Scheduler::has_changed);
-        if changed && self.authority() == Authority::Full {
+        let Some(scheduler) = &self.scheduler else { return FOLLOWER_TICK_MS };
+        if scheduler.has_changed() && self.authority() == Authority::Full {
             self.due.place.saturating_sub(self.now()).clamp(1, TICK_MS)
         } else {
             TICK_MS
--- a/src/node/provisioning.rs
+++ b/src/node/provisioning.rs
@@ -4,6 +4,8 @@
 
 /// Time between two rounds of the fleet's decisions.
 const FLEET_MS: u64 = 200;
+/// Time between two looks at whether a leader has the authority to rent again.
+const LAPSED_MS: u64 = 1000;
 /// For so many calls an offer rests while others are wanted.
 const REST_CALLS: f64 = 2.9;
 /// Unexpected machines that are asked at a time.
@@ -44,6 +46,7 @@
                 }
             }
             if !leads {
+                self.follow(typeless).await;
                 continue;
             }
             self.adopt(&adopting);
@@ -64,6 +67,15 @@
         }
     }
 
+    /// Waits until this node leads, or has to ask for the machine types again, without which it takes no jobs.
+    async fn follow(&self, typeless: bool) {
+        if typeless {
+            pause(FLEET_MS).await;
+        } else {
+            let _ = tokio::time::timeout(Duration::from_millis(LAPSED_MS), self.elected()).await;
+        }
+    }
+
     /// Waits until the cloud may be called again.
     async fn await_cloud_call(&self) {
         loop {
--- a/src/node/tests/cancellations.rs
+++ b/src/node/tests/cancellations.rs
@@ -61,10 +61,8 @@
     let (leader, (first, _)) = (w.leader().unwrap(), followers(&w));
     let leader = format!("drover-{leader}");
     let controller = w.nodes[first].controller.as_mut().unwrap();
-    let cancelled = |version| crate::store::Versioned {
-        record: crate::store::OverRecord { cancelled: true, tasks: 4 },
-        version,
-    };
+    let cancelled =
+        |version| crate::store::Versioned { record: crate::store::OverRecord { cancelled: true, tasks: 4 }, version };
     // What the leader's mirror is known to hold costs no word.
     let revision = controller.mirror.revision;
     controller.notices.mirrored(&leader, revision);
