No limit below 4,000 machines: bounds derived, raised or made to go on, with tests

Found by going through the constants.
- A pass that placed as much of an array as it may asks for the next one; it once waited half a second each time.
- What does not fit into one message to a worker stays in the outbox; stops had no bound, and a message beyond 64 KiB would have been refused whole.
- A watch that brings more than 4 MiB is replaced by reading the keys: over 16 MiB a node asked for the same changes for ever, and below it the answer alone could cost a small process its memory.
- Connections are bounded by memory as well as by sockets.
Finished jobs are made final in the order of their age.
- 16,384 unregistered machines are remembered (1,000), a page of the cloud's list may have 4 MiB (1).

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 const CALL: Duration = Duration::from_secs(4);
-const ANSWER_LIMIT: usize = 1 << 20;
+/// A page of the list holds 500 machines; this leaves 8 KiB for each.
+const ANSWER_LIMIT: usize = 4 << 20;
 /// Most machines a request may ask for.
 pub const RENT_MOST: u32 = 50;
 /// Most names in one release.
@@ -40,7 +41,7 @@
     }
 
     async fn call(&self, method: Method, path: &str, body: Option<Vec<u8>>) -> Option<(u16, Vec<u8>)> {
-        exchange(&self.http, method, &format!("{}{path}", self.base), body, CALL, ANSWER_LIMIT, false).await
+        exchange(&self.http, method, &format!("{}{path}", self.base), body, CALL, ANSWER_LIMIT, false).await.ok()
     }
 
     /// The machine types, or none if the cloud does not say.
--- a/src/config.rs
+++ b/src/config.rs
@@ -162,10 +162,28 @@
 /// Limits of the controller's machine.
 #[derive(Debug, Clone, Deserialize)]
 pub struct MachineLimits {
+    /// Memory in MiB, where it is told.
+    #[serde(default)]
+    pub ram_mb: Option<f64>,
     /// Sockets.
     pub max_connections: usize,
 }
 
+/// Memory that a connection takes: its buffers, and what its requests hold. As measured (docs/results.md).
+const CONNECTION_KIB: f64 = 26.0;
+/// The part of the memory that connections may take.
+const CONNECTION_MEMORY: f64 = 0.6;
+
+impl MachineLimits {
+    /// How many connections the server keeps at a time. The other sockets are for calls to the store, the cloud, peers and
+    /// workers, and for what is being closed; a process that runs out of memory is killed.
+    pub fn server_connections(&self) -> usize {
+        let by_sockets = self.max_connections * 17 / 20;
+        let by_memory = self.ram_mb.map(|mb| (mb * 1024.0 * CONNECTION_MEMORY / CONNECTION_KIB) as usize);
+        by_sockets.min(by_memory.unwrap_or(usize::MAX)).max(8)
+    }
+}
+
 /// The operators' own settings; each has a default.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -65,3 +65,13 @@
     assert!(long.operator.hold_s + (long.grace_ms() as f64) / 1000.0 + w.lease_s <= w.cancel_s);
     assert!(long.grace_ms() < s.grace_ms());
 }
+
+#[test]
+fn connections_are_bounded_by_sockets_and_by_memory() {
+    let limits = |ram_mb, max_connections| MachineLimits { ram_mb, max_connections }.server_connections();
+    assert_eq!(limits(None, 1000), 850);
+    assert_eq!(limits(Some(46.0), 1000), 850);
+    // More sockets than memory for their buffers.
+    assert!(limits(Some(46.0), 10_000) < 46 * 1024 / 26);
+    assert_eq!(limits(Some(0.0), 1000), 8);
+}
--- a/src/node/controller.rs
+++ b/src/node/controller.rs
@@ -3,8 +3,9 @@
 
 use super::*;
 
-/// Most unregistered machines that are looked at at a time.
-pub(super) const UNREGISTERED_LIMIT: usize = 1000;
+/// Most unregistered machines that are remembered at a time, so that reports in made-up names cost bounded memory; some times
+/// the largest fleet. The rest is remembered when it reports or is listed again.
+pub(super) const UNREGISTERED_LIMIT: usize = 16_384;
 /// Time between looks at what time alone brings.
 pub(super) const TICK_MS: u64 = 100;
 /// A longer time between two rounds means that the process stood still.
@@ -51,8 +52,8 @@
     Nothing,
     /// Messages for workers.
     Sends(Vec<Direct>),
-    /// No worker is heard: leadership is to be given up.
-    GiveUp,
+    /// Leadership is to be given up, for this reason.
+    GiveUp(&'static str),
 }
 
 /// A machine that no rental in the store names.
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -123,8 +123,8 @@
             let sends = match pass {
                 Pass::Sends(sends) => sends,
                 Pass::Nothing => continue,
-                Pass::GiveUp => {
-                    tracing::info!("hears no worker, gives leadership up");
+                Pass::GiveUp(reason) => {
+                    tracing::info!(reason, "gives leadership up");
                     self.give_up();
                     continue;
                 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -213,8 +213,10 @@
                         pause(pace).await;
                     }
                 }
-                Err(StoreError::Gone) => {
-                    tracing::info!("watch too old, reading everything again");
+                // A node that was kept from the store for long once asked for the same changes for ever, more than it
+                // was ready to take at a time.
+                Err(reason @ (StoreError::Gone | StoreError::TooLarge)) => {
+                    tracing::info!(%reason, "too far behind for a watch, reading everything again");
                     loaded = false;
                 }
                 Err(_) => pause(250).await,
@@ -435,8 +437,7 @@
 /// calls.
 pub fn run(settings: Settings) -> std::io::Result<()> {
     let platform = settings.platform.clone();
-    // The rest is for calls to the store, the cloud, peers and workers, and for what is being closed.
-    let connections = (platform.deployment.machine_limits.max_connections * 17 / 20).max(8);
+    let connections = platform.deployment.machine_limits.server_connections();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let addresses = crate::api::Addresses { api: platform.api_addr, internal: platform.internal_addr };
     actix::System::with_tokio_rt(|| runtime).block_on(async move {
--- a/src/node/persistence.rs
+++ b/src/node/persistence.rs
@@ -32,7 +32,10 @@
             self.due.reconsider = now + 5 * TICK_MS;
             scheduler.reconsider();
             if !alone && scheduler.hears_no_worker() {
-                return Pass::GiveUp;
+                return Pass::GiveUp("hears no worker");
+            }
+            if scheduler.is_exhausted() {
+                return Pass::GiveUp("the numbers for attempts are used up");
             }
         }
         if now >= self.due.place {
--- a/src/node/provisioning.rs
+++ b/src/node/provisioning.rs
@@ -311,7 +311,7 @@
                 Some(i) => scheduler.listed(i, m.state == "running", &m.address, (m.age_s * 1000.0) as u64),
                 None if !settled
                     || controller.released.contains_key(&m.id)
-                    || controller.unregistered.len() > UNREGISTERED_LIMIT => {}
+                    || controller.unregistered.len() >= UNREGISTERED_LIMIT => {}
                 None => {
                     let (machine_type, zone, spot) = (m.machine_type, m.zone, m.spot);
                     controller.unregistered.insert(m.id, UnregisteredMachine { machine_type, zone, spot, ask: None });
--- a/src/node/tests/mod.rs
+++ b/src/node/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Whole controllers in a scripted world.
 
 mod cancellations;
+mod large_fleets;
 mod meetings;
 mod schedules;
 mod world;
--- a/src/node/tests/world/controllers.rs
+++ b/src/node/tests/world/controllers.rs
@@ -188,7 +188,7 @@
         let sends = match pass {
             Pass::Sends(sends) => sends,
             Pass::Nothing => return,
-            Pass::GiveUp => return self.give_up(n),
+            Pass::GiveUp(_) => return self.give_up(n),
         };
         let (life, term) = (self.nodes[n].life, self.nodes[n].controller.as_ref().unwrap().term());
         let starts = |d: &Direct| d.orders.iter().any(|o| matches!(o, Command::Start { .. }));
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -110,6 +110,6 @@
 
 async fn post<T: Serialize, R: DeserializeOwned>(http: &awc::Client, url: String, message: &T) -> Option<R> {
     let within = Duration::from_secs(1);
-    let (status, body) = exchange(http, Method::POST, &url, Some(encode(message)), within, LIMIT, false).await?;
+    let (status, body) = exchange(http, Method::POST, &url, Some(encode(message)), within, LIMIT, false).await.ok()?;
     (status == 200).then(|| decode(&body))?
 }
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -245,10 +245,10 @@
             .collect()
     }
 
-    /// Jobs whose every task is done, with the version of their record.
+    /// Jobs whose every task is done, the oldest first, with the version of their record.
     pub fn complete_jobs(&self) -> Vec<(String, u64, u32)> {
-        self.jobs()
-            .filter(|j| !j.ended && j.done_n == j.tasks())
+        let jobs = self.by_age.iter().map(|i| self.job(*i));
+        jobs.filter(|j| !j.ended && j.done_n == j.tasks())
             .map(|j| (j.record.spec.id.clone(), j.version, j.tasks()))
             .collect()
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -47,6 +47,10 @@
 const PROOF_MS: u64 = 30_000;
 /// Bits of a token, and of an attempt, below the epoch.
 const TOKEN_BITS: u32 = 24;
+/// Attempts after which an epoch has to end, with room for those of a pass. A leader of a large fleet uses them up within a
+/// few days. Beyond them attempts would be larger than the first ones of the next epoch, and a new leader, which goes by the
+/// largest attempt of a task, would look for the task where it no longer is.
+pub(super) const ATTEMPTS_OF_AN_EPOCH: u64 = (1 << TOKEN_BITS) - (1 << 22);
 
 /// The lowest token of an epoch.
 pub fn first_token(epoch: u64) -> u64 {
@@ -213,6 +217,11 @@
         self.changed || !self.outbox.is_empty() || self.log.has_wanted()
     }
 
+    /// Whether this epoch has to end, since its numbers for attempts are used up.
+    pub fn is_exhausted(&self) -> bool {
+        self.attempts >= ATTEMPTS_OF_AN_EPOCH
+    }
+
     /// Jobs at work.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
         self.jobs.iter().flatten()
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -3,8 +3,8 @@
 use super::*;
 use crate::protocol::{split_task, ExitReason, Report, TaskReport, TaskState};
 
-/// Most orders in one answer: keeps answers far below their limit.
-const ORDERS: usize = 300;
+/// Most commands in one message to a worker: keeps it far below 64 KiB. The rest follows in the next one.
+pub(super) const COMMANDS_PER_MESSAGE: usize = 300;
 /// Longest pause between two tries of a job that fails everywhere.
 const WAIT_MOST_MS: u64 = 60_000;
 /// Images remembered for a machine.
@@ -131,7 +131,7 @@
             self.raise(i, if another_session { "another session" } else { "an answer was lost" });
         } else if arrival == (Arrival::Report { may_start: true }) {
             self.collect_starts(i, false, orders);
-            if orders.len() < ORDERS && !self.machine(i).direct {
+            if orders.len() < COMMANDS_PER_MESSAGE && !self.machine(i).direct {
                 self.outbox.remove(&i);
             }
         }
@@ -141,7 +141,7 @@
     fn reply(&mut self, i: usize, mut orders: Vec<Command>) -> ReportReply {
         // Stops first: where there are more orders than fit, the rest is told next time.
         orders.sort_by_key(|o| !matches!(o, Command::Stop { .. }));
-        orders.truncate(ORDERS);
+        orders.truncate(COMMANDS_PER_MESSAGE);
         // A copy of a direct start that was carried out may still come, and once its attempt is forgotten the worker would
         // start it anew. So what makes it forget also brings a higher token, which voids the copy; and nothing is forgotten
         // while a direct order is under way, which that would void as well.
@@ -449,7 +449,8 @@
     /// Moves assigned tasks of a machine into orders.
     pub(super) fn collect_starts(&mut self, i: usize, direct: bool, orders: &mut Vec<Command>) {
         for (j, t) in self.machine(i).tasks.clone() {
-            if orders.len() >= ORDERS {
+            if orders.len() >= COMMANDS_PER_MESSAGE {
+                self.outbox.insert(i);
                 return;
             }
             let Some(a) = self.job(j).active.get(&t).copied() else { continue };
@@ -467,6 +468,10 @@
     /// Stops of a machine that were not sent yet. A late one does no harm: it names its attempt.
     pub(super) fn collect_stops(&mut self, i: usize, orders: &mut Vec<Command>) {
         for (j, t) in self.machine(i).tasks.clone() {
+            if orders.len() >= COMMANDS_PER_MESSAGE {
+                self.outbox.insert(i);
+                return;
+            }
             let job = self.jobs[j].as_mut().expect("accounted tasks belong to a present job");
             let Some(a) = job.active.get_mut(&t) else { continue };
             if let (Phase::Stopping { save }, false) = (a.phase, a.stop_sent) {
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -8,8 +8,8 @@
 const PATIENCE: f64 = 0.4;
 /// No job waits for so long while a machine that fits has room (PROTOCOL, additions).
 const WAIT_MS: u64 = 90_000;
-/// Most tasks of one job placed in one pass: the next pass is milliseconds away.
-const AT_ONCE: u32 = 2000;
+/// Most tasks of one job placed in one pass; the rest follows in the next one, milliseconds later.
+const PLACED_PER_PASS: u32 = 2000;
 
 /// What was asked for in vain in a pass. Room only shrinks in a pass, so whoever asks for as much or more, with as little
 /// choice or less, need not look again.
@@ -143,7 +143,7 @@
 
     /// Places what can be placed now. True if there was something to look at.
     pub fn place(&mut self) -> bool {
-        if self.now < self.place_from || !std::mem::take(&mut self.changed) {
+        if self.now < self.place_from || self.is_exhausted() || !std::mem::take(&mut self.changed) {
             return false;
         }
         let queue = self.queue();
@@ -266,8 +266,9 @@
     fn place_job(&mut self, j: usize, pass: &mut Pass) {
         let job = self.job(j);
         let whole = job.record.spec.kind == Kind::Gang;
-        let most = if whole { u32::MAX } else { AT_ONCE };
-        let mut left = job.wanted(self.now).min(self.quota_room(job)).min(most);
+        let wanted = job.wanted(self.now).min(self.quota_room(job));
+        let mut left = if whole { wanted } else { wanted.min(PLACED_PER_PASS) };
+        let more = wanted > left;
         // A gang starts whole or not at all: what is left of an earlier try must be gone first.
         if left == 0 || (whole && (left < job.pending() || !job.active.is_empty())) {
             return;
@@ -302,6 +303,8 @@
         if whole && plan.now.iter().map(|(_, n)| *n as u64).sum::<u64>() < left as u64 {
             return;
         }
+        // Where so many have found a place, others may as well.
+        self.changed |= more && !plan.now.is_empty();
         // A gang's tasks share an attempt.
         self.attempts += whole as u64;
         for (machine, n) in plan.later {
--- /dev/null
+++ b/src/scheduler/tests/large_fleets.rs
@@ -0,0 +1,112 @@
+//! Fleets of thousands of machines: nothing is cut off, and what nothing follows from costs no round.
+
+use super::*;
+
+/// A fleet as large as any that is served.
+const MACHINES: usize = 4000;
+
+/// A job of tasks so small that hundreds fit on a machine.
+fn small_tasks(id: &str, tasks: u32) -> JobSpec {
+    JobSpec { cpus: 0.01, memory_gb: 0.01, ..spec(id, tasks) }
+}
+
+fn lines(starts: &[(String, u64)]) -> Vec<(&str, u64, TaskState, Option<ExitReason>)> {
+    starts.iter().map(|(task, attempt)| (task.as_str(), *attempt, TaskState::Running, None)).collect()
+}
+
+#[test]
+fn an_array_of_a_hundred_thousand_tasks_takes_all_the_room_at_once() {
+    let mut w = World::new();
+    (0..MACHINES).for_each(|n| w.machine(&format!("n-{n}"), "a"));
+    w.job(spec("wk-1", 100_000), 1);
+    // Each pass asks for the next one. With only one every half second the array once took a quarter of a minute.
+    while w.scheduler.has_changed() {
+        w.scheduler.place();
+    }
+    let placed = w.scheduler.jobs().map(|job| job.active.len()).sum::<usize>();
+    assert_eq!(placed, 4 * MACHINES);
+}
+
+#[test]
+fn the_books_do_not_grow_with_every_machine_ever_rented() {
+    let mut w = World::new();
+    for round in 0..20 {
+        (0..50).for_each(|n| w.machine(&format!("n-{round}-{n}"), "a"));
+        (0..50).for_each(|n| w.scheduler.machine_gone(&format!("n-{round}-{n}")));
+    }
+    assert_eq!((w.scheduler.machines().count(), w.scheduler.machines.len()), (0, 50));
+}
+
+#[test]
+fn an_index_that_is_used_again_inherits_nothing() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(spec("wk-1", 1), 1);
+    let start = starts(&w.tell("n-1", &[]));
+    w.tell("n-1", &lines(&start));
+    w.scheduler.machine_gone("n-1");
+    w.machine("n-2", "b");
+    assert_eq!(w.scheduler.index("n-2"), Some(0));
+    let machine = w.scheduler.machine(0);
+    assert!(machine.images.is_empty() && machine.name == "n-2" && machine.last_live.0 == 1);
+    // The task is started anew, with an attempt of its own.
+    let again = starts(&w.tell("n-2", &[]));
+    assert!(again[0].0 == start[0].0 && again[0].1 > start[0].1);
+}
+
+#[test]
+fn many_commands_for_a_machine_are_told_in_several_messages_and_none_is_left_out() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(small_tasks("wk-1", 700), 1);
+    let mut running = Vec::new();
+    while running.len() < 700 {
+        let more = starts(&w.tell("n-1", &lines(&running)));
+        assert!(!more.is_empty() && more.len() <= 300);
+        running.extend(more);
+    }
+    w.tell("n-1", &lines(&running));
+    w.scheduler.drop_job("wk-1");
+    let mut stopped = Vec::new();
+    while let Some(sent) = w.scheduler.direct(9).pop() {
+        assert!(sent.orders.len() <= 300);
+        stopped.push(stops(&sent.orders));
+        let answer = w.report("n-1", w.token(), &lines(&running));
+        w.scheduler.direct_answer(&sent, Some(&answer));
+    }
+    assert_eq!(stopped, [300, 300, 100]);
+}
+
+#[test]
+fn an_epoch_ends_before_its_attempts_reach_those_of_the_next() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.scheduler.attempts = ATTEMPTS_OF_AN_EPOCH - 1;
+    w.job(spec("wk-1", 1), 1);
+    let last = starts(&w.tell("n-1", &[]));
+    assert!(last[0].1 < first_token(6) && w.scheduler.is_exhausted());
+    w.job(spec("wk-2", 1), 1);
+    assert!(starts(&w.tell("n-1", &lines(&last))).is_empty());
+}
+
+#[test]
+fn a_report_that_tells_nothing_new_asks_for_no_round() {
+    let mut w = World::new();
+    w.machine("n-1", "a");
+    w.job(spec("wk-1", 4), 1);
+    let start = starts(&w.tell("n-1", &[]));
+    w.tell("n-1", &lines(&start));
+    (2..100).for_each(|n| w.machine(&format!("n-{n}"), "a"));
+    while w.scheduler.has_changed() {
+        w.scheduler.place();
+    }
+    assert!(!w.scheduler.needs_pass());
+    let unchanged = w.report("n-1", w.token(), &lines(&start));
+    w.scheduler.report(&unchanged, Arrival::Report { may_start: true });
+    assert!(!w.scheduler.needs_pass());
+    // A task that has ended leaves room.
+    let ended = [(start[0].0.as_str(), start[0].1, TaskState::Exited, Some(ExitReason::Done))];
+    let report = w.report("n-1", w.token(), &ended);
+    w.scheduler.report(&report, Arrival::Report { may_start: true });
+    assert!(w.scheduler.needs_pass());
+}
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler under a fake clock, with scripted workers.
 
 mod health;
+mod large_fleets;
 mod new_leader;
 mod placement;
 mod proofs;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -3,6 +3,7 @@
 use super::records::record;
 use super::{Mirror, Versioned, ROOT};
 use crate::protocol::{self as wire, Item, Txn};
+use crate::worker::ExchangeError;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,6 +23,9 @@
     /// The thing asked for does not exist or no longer does (404, 410, no such lease).
     #[error("gone")]
     Gone,
+    /// The answer is larger than this process is ready to hold.
+    #[error("answer too large")]
+    TooLarge,
 }
 
 /// The outcome of a transaction that was decided.
@@ -42,7 +46,9 @@
 
 /// Time allowed for an ordinary call.
 const CALL: Duration = Duration::from_millis(1500);
-const ANSWER_LIMIT: usize = 16 << 20;
+/// Largest answer taken. A page of keys has 512 KiB at most; only a watch has no limit, and one that brings more than this is
+/// replaced by reading the keys page by page, which costs less memory.
+const ANSWER_LIMIT: usize = 4 << 20;
 
 impl StoreClient {
     /// A client of the service at `addr`.
@@ -67,7 +73,10 @@
             false,
         )
         .await
-        .ok_or(StoreError::Unknown)?;
+        .map_err(|error| match error {
+            ExchangeError::TooLarge => StoreError::TooLarge,
+            ExchangeError::NoAnswer => StoreError::Unknown,
+        })?;
         match answer.0 {
             429 => Err(StoreError::Busy),
             503 => Err(StoreError::Refused),
@@ -85,7 +94,9 @@
     }
 
     async fn post(&self, path: &str, body: Vec<u8>, within: Duration) -> Result<(u16, Vec<u8>), StoreError> {
-        self.call(awc::http::Method::POST, path, Some(body), within).await
+        let answer = self.call(awc::http::Method::POST, path, Some(body), within).await;
+        // Whatever it was that came back, what was asked for may have been done.
+        answer.map_err(|error| if error == StoreError::TooLarge { StoreError::Unknown } else { error })
     }
 
     /// Reads a key; `Gone` if it does not exist.
