Constants and conversions in the field's terms

Seconds become milliseconds in one place (units); constants say what they bound and in which unit; the scheduler's parameters are called so. No change of behaviour.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -14,7 +14,7 @@
 /// Kept back from every authority that ends at a time.
 const MARGIN_MS: u64 = 150;
 /// Most reads that wait for the mirror; beyond that the oldest is given up, which only delays an authority.
-const READS: usize = 64;
+const PENDING_READS_LIMIT: usize = 64;
 
 /// Where a node stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -115,7 +115,7 @@
         let next = match (&self.role, event) {
             (_, Event::Read { sent, revision }) => {
                 self.reads.push((sent, revision));
-                if self.reads.len() > READS {
+                if self.reads.len() > PENDING_READS_LIMIT {
                     self.reads.remove(0);
                 }
                 self.catch_up();
--- a/src/leader/tests.rs
+++ b/src/leader/tests.rs
@@ -78,7 +78,7 @@
     for n in 0..1000 {
         read(&mut l, 10_500, 30 + n);
     }
-    assert!(l.reads.len() <= READS);
+    assert!(l.reads.len() <= PENDING_READS_LIMIT);
     l.apply(Event::Mirrored(5000));
     assert_eq!(l.authority(10_900), Authority::Full);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod scheduler;
 pub mod server;
 pub mod store;
+pub mod units;
 pub mod worker;
--- a/src/limiter.rs
+++ b/src/limiter.rs
@@ -11,11 +11,11 @@
 const WINDOW: u64 = 20;
 /// Nobody is helped by a refusal of what takes less: a quarter of the 2 s that users allow a poll. A state service that
 /// answered slowly, but answered, once had nearly everyone refused.
-const CARE_MS: f64 = 500.0;
+const TOLERABLE_MS: f64 = 500.0;
 
 /// Share of the limit that questions may fill: users ask far more often than they submit or cancel, and a crowd that asks must
 /// not keep out those who have something to change.
-const QUESTIONS: f64 = 0.75;
+const QUERY_SHARE: f64 = 0.75;
 
 /// What a user wants.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,7 +55,7 @@
     /// Admits a request, or not.
     pub fn enter(&mut self, request: Request) -> bool {
         let limit = match request {
-            Request::Question => self.limit * QUESTIONS,
+            Request::Question => self.limit * QUERY_SHARE,
             Request::Change => self.limit,
         };
         if self.in_progress >= limit as usize {
@@ -79,7 +79,7 @@
         let usual = self.window.value_at_quantile(0.5) as f64;
         // The best time is forgotten slowly, so that a service that has become slower for good is learned.
         self.best_ms = (self.best_ms * 1.02).min(usual).max(5.0);
-        if usual > (4.0 * self.best_ms).max(CARE_MS) {
+        if usual > (4.0 * self.best_ms).max(TOLERABLE_MS) {
             self.limit = (self.limit * 0.85).max(self.most / 32.0).max(2.0);
         } else if self.peak * 2 >= self.limit as usize {
             self.limit = (self.limit * 1.06).min(self.most);
--- a/src/node/controller.rs
+++ b/src/node/controller.rs
@@ -2,6 +2,7 @@
 //! tests drive it with a scripted store, workers and peers.
 
 use super::*;
+use crate::units::millis;
 
 /// Most unregistered machines that are remembered at a time, so that reports in made-up names cost bounded memory; some times
 /// the largest fleet. The rest is remembered when it reports or is listed again.
@@ -26,7 +27,7 @@
 /// Over how long the leader's changes are measured.
 const CHANGES_MS: u64 = 2000;
 /// How long the leader's word of its changes counts.
-const FRESH_VIEW_MS: u64 = 3000;
+const LEADER_VIEW_TTL_MS: u64 = 3000;
 
 /// Where the time comes from.
 pub(super) enum Clock {
@@ -109,7 +110,7 @@
     /// A node that has yet to read the store.
     pub(super) fn new(settings: Settings, incarnation: u64, clock: Clock) -> ControllerState {
         let me = LeaderRecord { node: settings.platform.node.clone(), incarnation };
-        let ttl = (settings.operator.hold_s * 1000.0) as u64;
+        let ttl = millis(settings.operator.hold_s);
         let state = &settings.platform.deployment.state;
         let user_changes = users_share(state.write_rps, settings.platform.peers.len() + 1, None);
         let user_reads = state.rps * USER_READS / (settings.platform.peers.len() + 1) as f64;
@@ -344,7 +345,7 @@
     /// Adjusts the pace of users' changes to what the leader leaves.
     pub(super) fn adjust_pace(&mut self) {
         let now = self.now();
-        let fresh = self.leader_changes.filter(|(_, at)| now < at + FRESH_VIEW_MS).map(|(changes, _)| changes);
+        let fresh = self.leader_changes.filter(|(_, at)| now < at + LEADER_VIEW_TTL_MS).map(|(changes, _)| changes);
         let leader = if self.term().is_some() { Some(self.own_changes.per_s(now)) } else { fresh };
         let platform = &self.settings.platform;
         let most = users_share(platform.deployment.state.write_rps, platform.peers.len() + 1, leader);
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -1,10 +1,11 @@
 //! Leadership, and the leader's work: placing, sending, durable writes.
 
 use super::*;
+use crate::units::millis;
 
 impl Shared {
     pub(super) async fn leadership(self) {
-        let ttl = (self.controller.borrow().settings.operator.hold_s * 1000.0) as u64;
+        let ttl = millis(self.controller.borrow().settings.operator.hold_s);
         loop {
             let interval_ms = (ttl / 5).min(500);
             let _ = tokio::time::timeout(Duration::from_millis(interval_ms), self.campaign.notified()).await;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -125,7 +125,7 @@
 /// How long a watch waits for a change.
 const WATCH_MS: u64 = 4000;
 /// How long the mirror may lag behind a read before its watch is opened anew; doubled while that does not help.
-const PATIENCE_MS: u64 = 500;
+const SILENT_WATCH_MS: u64 = 500;
 
 fn pause(ms: u64) -> tokio::time::Sleep {
     tokio::time::sleep(Duration::from_millis(ms))
@@ -173,7 +173,7 @@
         };
         // A quarter of the request budget goes to watches, shared among the nodes.
         let pace = ((4000.0 * nodes as f64 / rps) as u64).clamp(20, 1000);
-        let (mut loaded, mut patience) = (false, PATIENCE_MS);
+        let (mut loaded, mut patience) = (false, SILENT_WATCH_MS);
         loop {
             if !loaded {
                 match self.noted(self.store.load().await) {
@@ -202,7 +202,7 @@
             };
             match self.noted(watched) {
                 Ok(w) => {
-                    patience = PATIENCE_MS;
+                    patience = SILENT_WATCH_MS;
                     let quiet = w.events.is_empty();
                     if self.controller.borrow_mut().watched(w.revision, &w.events) {
                         self.campaign.notify_one();
--- a/src/node/provisioning.rs
+++ b/src/node/provisioning.rs
@@ -1,21 +1,22 @@
 //! The leader's dealings with the cloud.
 
 use super::*;
+use crate::units::millis;
 
 /// Time between two rounds of the fleet's decisions.
 const FLEET_MS: u64 = 200;
 /// Time between two looks at whether a leader has the authority to rent again.
-const LAPSED_MS: u64 = 1000;
+const AUTHORITY_CHECK_MS: u64 = 1000;
 /// For so many calls an offer rests while others are wanted.
 const REST_CALLS: f64 = 2.9;
 /// Unexpected machines that are asked at a time.
-const ADOPTIONS: usize = 16;
+const CONCURRENT_ADOPTIONS: usize = 16;
 
 impl Shared {
     pub(super) async fn fleet(self) {
         let list_ms = {
             let cloud = &self.controller.borrow().settings.platform.deployment.cloud;
-            ((cloud.list_lag_s * 1000.0) as u64).max(4000)
+            millis(cloud.list_lag_s).max(4000)
         };
         let (mut types_at, mut list_at) = (None::<u64>, 0);
         let mut page = None;
@@ -72,7 +73,7 @@
         if typeless {
             pause(FLEET_MS).await;
         } else {
-            let _ = tokio::time::timeout(Duration::from_millis(LAPSED_MS), self.elected()).await;
+            let _ = tokio::time::timeout(Duration::from_millis(AUTHORITY_CHECK_MS), self.elected()).await;
         }
     }
 
@@ -144,8 +145,8 @@
         let controller = &mut *controller;
         let w = &controller.settings.platform.deployment.workers;
         // Long enough for two probes; a machine silent for longer rarely comes back within its lease.
-        let silent_ms = ((2.0 * w.report_s + 2.0).max(0.4 * w.lease_s) * 1000.0) as u64;
-        let idle_ms = (controller.settings.operator.idle_return_s * 1000.0) as u64;
+        let silent_ms = millis((2.0 * w.report_s + 2.0).max(0.4 * w.lease_s));
+        let idle_ms = millis(controller.settings.operator.idle_return_s);
         // Dead machines are listed as failed; what is silent for so long though its whole zone is, is not worth its price.
         let lost_ms = (4000.0 * w.lease_s) as u64;
         let Some(scheduler) = controller.scheduler.as_mut() else { return Vec::new() };
@@ -167,7 +168,7 @@
         let boot_s = scheduler.types().iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min).min(600.0);
         // Until a machine that is rented now is up, with some room for slow ones.
         let rise_ms = (boot_s * 1500.0) as u64 + 5000;
-        controller.fleet.surplus(scheduler, &demands, idle_ms + (boot_s * 1000.0) as u64, rise_ms, now);
+        controller.fleet.surplus(scheduler, &demands, idle_ms + millis(boot_s), rise_ms, now);
         controller.fleet.returns(scheduler, idle_ms, rise_ms, now);
         let mut rental_requests = controller.fleet.rental_requests(scheduler, &demands, now);
         rental_requests.extend(controller.fleet.ahead(scheduler, rise_ms, now));
@@ -218,7 +219,7 @@
     /// the dealings with the cloud: late copies of the reports of machines that an earlier leader has released name workers
     /// that never answer, and asked one after the other they would hold up every release and rental.
     pub(super) fn adopt(&self, flying: &Rc<Cell<usize>>) {
-        let room = ADOPTIONS.saturating_sub(flying.get());
+        let room = CONCURRENT_ADOPTIONS.saturating_sub(flying.get());
         let mut some = Vec::new();
         {
             let mut controller = self.controller.borrow_mut();
@@ -308,7 +309,7 @@
         for m in machines {
             match scheduler.index(&m.id) {
                 Some(i) if m.state == "failed" => scheduler.enter(i, MachineState::Releasing, "failed"),
-                Some(i) => scheduler.listed(i, m.state == "running", &m.address, (m.age_s * 1000.0) as u64),
+                Some(i) => scheduler.listed(i, m.state == "running", &m.address, millis(m.age_s)),
                 None if !settled
                     || controller.released.contains_key(&m.id)
                     || controller.unregistered.len() >= UNREGISTERED_LIMIT => {}
--- a/src/node/tests/world/controllers.rs
+++ b/src/node/tests/world/controllers.rs
@@ -1,6 +1,7 @@
 //! The controllers of the scripted world: carries out what each `ControllerState` asks for, as the loops of `node` do.
 
 use super::*;
+use crate::units::millis;
 
 impl World {
     pub(super) fn drive(&mut self, n: usize) {
@@ -233,7 +234,7 @@
         let controller = self.nodes[n].controller.as_mut().unwrap();
         let w = controller.settings.platform.deployment.workers.clone();
         let scheduler = controller.scheduler.as_mut().unwrap();
-        let silent_ms = ((2.0 * w.report_s + 2.0).max(0.4 * w.lease_s) * 1000.0) as u64;
+        let silent_ms = millis((2.0 * w.report_s + 2.0).max(0.4 * w.lease_s));
         for i in scheduler.silent(silent_ms, (4000.0 * w.lease_s) as u64) {
             scheduler.enter(i, MachineState::Releasing, "silent");
         }
--- a/src/node/user_requests.rs
+++ b/src/node/user_requests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Between two looks at whether the leader knows of a cancellation.
-const ACK_MS: u64 = 10;
+const ACKNOWLEDGEMENT_POLL_MS: u64 = 10;
 
 impl Shared {
     /// A final state read from the store; `Gone` if there is none.
@@ -162,7 +162,7 @@
                     return;
                 }
             }
-            pause(ACK_MS).await;
+            pause(ACKNOWLEDGEMENT_POLL_MS).await;
         }
     }
 
--- a/src/pacer.rs
+++ b/src/pacer.rs
@@ -8,9 +8,9 @@
 mod tests;
 
 /// Share of the state service's changes that users have in any case.
-const USERS_LEAST: f64 = 2.0 / 3.0;
+const USERS_GUARANTEED_SHARE: f64 = 2.0 / 3.0;
 /// Most that users and the leader take together; the rest is for what is not measured yet.
-const TOGETHER: f64 = 0.95;
+const PLANNED_SHARE: f64 = 0.95;
 /// Room for the leader's changes above what they were of late.
 const LEADER_HEADROOM: f64 = 1.25;
 
@@ -18,8 +18,8 @@
 /// leader leaves of the rest. In the first seconds of a deployment, with everything to be accepted and nothing to be started,
 /// the leader needs next to none.
 pub fn users_share(write_rps: f64, nodes: usize, leader_changes_per_s: Option<f64>) -> f64 {
-    let least = write_rps * USERS_LEAST;
-    let left = leader_changes_per_s.map_or(0.0, |leader| write_rps * TOGETHER - leader.max(0.0) * LEADER_HEADROOM);
+    let least = write_rps * USERS_GUARANTEED_SHARE;
+    let left = leader_changes_per_s.map_or(0.0, |leader| write_rps * PLANNED_SHARE - leader.max(0.0) * LEADER_HEADROOM);
     least.max(left) / nodes.max(1) as f64
 }
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -52,9 +52,9 @@
 }
 
 /// A node that reaches no other for so long, nor is refused by one, is apart.
-const APART_MS: u64 = 5000;
+const ISOLATED_AFTER_MS: u64 = 5000;
 /// How long another's word counts.
-const FRESH_MS: u64 = 3000;
+const PEER_VIEW_TTL_MS: u64 = 3000;
 
 /// What a node knows of the others; all times in milliseconds.
 #[derive(Debug, Default)]
@@ -84,7 +84,8 @@
     /// Whether a node that the state service does not answer is alone with that: the service answers another one, or
     /// nothing of the others is reached either. In an outage, where the others are in the same case, it is not.
     pub fn alone(&self, now: u64) -> bool {
-        self.told.values().any(|(at, ok)| *ok && now < at + FRESH_MS) || now > self.reached_at + APART_MS
+        self.told.values().any(|(at, ok)| *ok && now < at + PEER_VIEW_TTL_MS)
+            || now > self.reached_at + ISOLATED_AFTER_MS
     }
 }
 
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -100,8 +100,8 @@
     o.stood_still(29_900, 31_000);
     assert!(!o.alone(31_000));
     // They are silent while it runs: now it is.
-    assert!(o.alone(31_000 + APART_MS));
+    assert!(o.alone(31_000 + ISOLATED_AFTER_MS));
     // Nothing is believed to have been heard in the future.
     o.stood_still(1 << 40, 32_000);
-    assert!(o.alone(32_000 + APART_MS + 1));
+    assert!(o.alone(32_000 + ISOLATED_AFTER_MS + 1));
 }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -8,7 +8,7 @@
 /// Number of classes: a job's dominant requested resource.
 pub const CLASSES: usize = 3;
 /// Weight of a new measurement in a running mean.
-const WEIGHT: f64 = 0.2;
+const MEASUREMENT_WEIGHT: f64 = 0.2;
 
 /// A job's class: which of CPU, accelerators and memory it takes the largest share of.
 pub fn class_of(need: [u64; 3], typical: [u64; 3]) -> usize {
@@ -24,7 +24,7 @@
     /// Takes in a finished task: its time here over its job's mean time across machines.
     pub fn measure(&mut self, class: usize, ratio: f64) {
         let ratio = ratio.clamp(0.05, 20.0);
-        let mean = self.0[class].map_or(ratio, |old| old + WEIGHT * (ratio - old));
+        let mean = self.0[class].map_or(ratio, |old| old + MEASUREMENT_WEIGHT * (ratio - old));
         self.0[class] = Some(mean);
     }
 
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -126,8 +126,8 @@
     pub fn unmet_demand(&mut self, preempt: bool) -> Vec<UnmetDemand> {
         let mut room = Pool::new(self, self.machines().filter(|(_, m)| self.open(m)).map(|(i, m)| (i, self.coming(m))));
         let mut later = Pool::new(self, self.machines().filter(|(_, m)| self.on_its_way(m)).map(|(i, m)| (i, m.room)));
-        let mut team_left: Vec<[u64; 2]> = (0..self.p.teams.len())
-            .map(|t| std::array::from_fn(|r| self.p.teams[t].limit[r].saturating_sub(self.team_use[t][r])))
+        let mut team_left: Vec<[u64; 2]> = (0..self.params.teams.len())
+            .map(|t| std::array::from_fn(|r| self.params.teams[t].limit[r].saturating_sub(self.team_use[t][r])))
             .collect();
         let queue = self.queue();
         let least = queue.iter().map(|j| self.job(*j).need).reduce(|a, b| std::array::from_fn(|r| a[r].min(b[r])));
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -79,12 +79,12 @@
 
     /// Whether it fails wherever it is tried: submitted with a mistake, it goes on failing until its user cancels it.
     pub(super) fn fails_everywhere(&self, now: u64) -> bool {
-        self.failed_on.len() >= MISTAKEN && !self.proven(now)
+        self.failed_on.len() >= FAULTY_JOB_MACHINES && !self.proven(now)
     }
 
     /// Whether a task of it has finished or has run for a while, so that what fails is the machine's fault.
     pub(super) fn proven(&self, now: u64) -> bool {
-        let runs = |a: &TaskAttempt| a.phase == Phase::Running && now > a.since + PROOF_MS;
+        let runs = |a: &TaskAttempt| a.phase == Phase::Running && now > a.since + PROVEN_RUN_MS;
         self.done_n > 0 || self.active.values().any(runs)
     }
 
@@ -173,7 +173,7 @@
         let (bits, done_n) = restore_results(spec.tasks, done);
         let age = wall_ms.saturating_sub(record.at_ms);
         Job {
-            team: self.p.teams.iter().position(|t| t.name == spec.team),
+            team: self.params.teams.iter().position(|t| t.name == spec.team),
             image: self.images.add(&spec.image),
             class: placement::class_of(need, self.largest_machine()),
             need,
--- a/src/scheduler/machines.rs
+++ b/src/scheduler/machines.rs
@@ -3,11 +3,12 @@
 use super::start_log::plain;
 use super::*;
 use crate::protocol::{split_task, Report};
+use crate::units::millis;
 
 /// A margin beside the drift of clocks, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 500;
 /// Beside the time in which every machine reports, before a node takes itself for cut off.
-const DEAF_MARGIN_MS: u64 = 500;
+const ISOLATION_MARGIN_MS: u64 = 500;
 /// Two probes that all go unanswered, and their way.
 const UNANSWERED_MS: u64 = 5000;
 /// Boot time of a machine type that the cloud does not tell of any more.
@@ -179,7 +180,8 @@
     }
 
     fn lease_over(&self, m: &Machine) -> bool {
-        self.now > m.last_answer.max(m.session_seen) + self.p.lease_ms + self.p.lease_ms / 500 + LEASE_MARGIN_MS
+        self.now
+            > m.last_answer.max(m.session_seen) + self.params.lease_ms + self.params.lease_ms / 500 + LEASE_MARGIN_MS
     }
 
     /// Machines that should be heard from and have not shown the current token for `silent_ms`, less those of zones that
@@ -210,7 +212,7 @@
 
     /// The time in which a machine surely reports.
     fn quiet_ms(&self) -> u64 {
-        self.p.report_ms * 3 / 2
+        self.params.report_ms * 3 / 2
     }
 
     /// How many of each zone's machines are quiet, and how many there are.
@@ -240,9 +242,10 @@
     /// node that is cut off. A new leader that nobody has answered yet knows sooner, since it asks everybody when it begins: an
     /// new leader cut off like its predecessor once held the leadership until the leases had run out.
     pub fn hears_no_worker(&self) -> bool {
-        let heard = |m: &Machine| m.reported_at.is_some_and(|at| self.now <= at + self.quiet_ms() + DEAF_MARGIN_MS);
+        let heard =
+            |m: &Machine| m.reported_at.is_some_and(|at| self.now <= at + self.quiet_ms() + ISOLATION_MARGIN_MS);
         let fresh = self.expected().all(|(_, m)| m.last == (0, 0));
-        let after = if fresh { UNANSWERED_MS } else { 2 * self.quiet_ms() + DEAF_MARGIN_MS };
+        let after = if fresh { UNANSWERED_MS } else { 2 * self.quiet_ms() + ISOLATION_MARGIN_MS };
         self.expected().filter(|(_, m)| self.now > m.since + after).count() > 2
             && !self.expected().any(|(_, m)| heard(m))
     }
@@ -319,7 +322,7 @@
     /// Empty orders for machines that are overdue or have not shown the current token yet: the answer is a report under
     /// it, much sooner than the worker's next one. Those that may hold replicas come first, then those with other tasks.
     pub fn probes(&mut self, most: usize) -> Vec<Direct> {
-        let late = self.p.report_ms * 3 / 2 + 500;
+        let late = self.params.report_ms * 3 / 2 + 500;
         let due = |m: &Machine| {
             m.contacted
                 && (!m.current || self.now > m.last_heard + late)
@@ -331,7 +334,7 @@
         for (_, i) in all.into_iter().take(most) {
             let m = self.machine(i);
             let (machine, address, token, session) = (m.name.clone(), m.address.clone(), self.token(m), m.last.0);
-            let again = self.now + 1000.max(self.p.report_ms / 2);
+            let again = self.now + 1000.max(self.params.report_ms / 2);
             let m = self.machine_mut(i);
             m.direct = true;
             m.probe_at = again;
@@ -388,7 +391,7 @@
             for (j, t) in self.machine(i).tasks.clone() {
                 let spec = &self.job(j).record.spec;
                 // Work that saves is stopped just in time to save; the rest may still finish.
-                let lead = (spec.save_s * 1000.0) as u64 + 2 * self.p.report_ms + 2000;
+                let lead = millis(spec.save_s) + 2 * self.params.report_ms + 2000;
                 if spec.kind == Kind::Service || (spec.checkpoint_s > 0.0 && now + lead >= at) {
                     self.apply_event(j, t, TaskEvent::Stop { save: spec.checkpoint_s > 0.0 });
                 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -42,9 +42,9 @@
 use tasks::TaskEvent;
 
 /// A job that has failed on so many machines, and of which no task has finished, is taken for one with a mistake.
-const MISTAKEN: usize = 3;
+const FAULTY_JOB_MACHINES: usize = 3;
 /// A task that has run for so long is no mistake.
-const PROOF_MS: u64 = 30_000;
+const PROVEN_RUN_MS: u64 = 30_000;
 /// Bits of a token, and of an attempt, below the epoch.
 const TOKEN_BITS: u32 = 24;
 /// Attempts after which an epoch has to end, with room for those of a pass. A leader of a large fleet uses them up within a
@@ -70,7 +70,7 @@
 
 /// The state of a scheduler in one epoch.
 pub struct Scheduler {
-    p: Params,
+    params: Params,
     epoch: u64,
     now: u64,
     types: Vec<MachineType>,
@@ -112,10 +112,10 @@
 
 impl Scheduler {
     /// An empty scheduler of an epoch that began now.
-    pub fn new(p: Params, epoch: u64, now: u64) -> Self {
-        let teams = p.teams.len();
+    pub fn new(params: Params, epoch: u64, now: u64) -> Self {
+        let teams = params.teams.len();
         Scheduler {
-            p,
+            params,
             epoch,
             now,
             types: Vec::new(),
--- a/src/scheduler/params.rs
+++ b/src/scheduler/params.rs
@@ -1,5 +1,6 @@
 //! Fixed numbers of a scheduler, from the settings.
 
+use crate::units::millis;
 use std::collections::HashMap;
 
 /// A team's quota; `u64::MAX` where it has none.
@@ -61,8 +62,8 @@
         }
         Params {
             finish_ms,
-            lease_ms: (w.lease_s * 1000.0) as u64,
-            report_ms: (w.report_s * 1000.0) as u64,
+            lease_ms: millis(w.lease_s),
+            report_ms: millis(w.report_s),
             grace_ms: s.grace_ms(),
             group_factor: s.operator.group_factor,
             fetch_gb_per_s: s.operator.fetch_gb_per_s,
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -5,7 +5,7 @@
 use std::cmp::Reverse;
 
 /// A start counts for its users if nothing stops the task within this time.
-const COUNTS_MS: u64 = 30_000;
+const SETTLED_RUN_MS: u64 = 30_000;
 
 /// Who looked for somebody to displace in vain.
 #[derive(Debug, Clone, PartialEq)]
@@ -96,7 +96,7 @@
     /// then nothing of this helps.
     fn quota_missing(&self, j: usize, team: usize, n: u32) -> [u64; 2] {
         let need = self.job(j).need;
-        let limit = self.p.teams[team].limit;
+        let limit = self.params.teams[team].limit;
         std::array::from_fn(|r| {
             let with_them = self.team_use[team][r].saturating_add(need[r].saturating_mul(n as u64));
             with_them.saturating_sub(limit[r])
@@ -120,7 +120,7 @@
                 victims.push(QuotaVictim {
                     priority: Reverse(spec.priority),
                     displaced: other.displaced.get(&task).copied().unwrap_or(0),
-                    fresh: self.now < a.since + COUNTS_MS,
+                    fresh: self.now < a.since + SETTLED_RUN_MS,
                     elsewhere: !useful,
                     lost_ms: if spec.checkpoint_s > 0.0 { 0 } else { self.now.saturating_sub(a.since) },
                     job: lower,
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -2,13 +2,14 @@
 
 use super::*;
 use crate::protocol::{split_task, ExitReason, Report, TaskReport, TaskState};
+use crate::units::millis;
 
 /// Most commands in one message to a worker: keeps it far below 64 KiB. The rest follows in the next one.
 pub(super) const COMMANDS_PER_MESSAGE: usize = 300;
 /// Longest pause between two tries of a job that fails everywhere.
-const WAIT_MOST_MS: u64 = 60_000;
+const LONGEST_RETRY_DELAY_MS: u64 = 60_000;
 /// Images remembered for a machine.
-const IMAGES: usize = 24;
+const IMAGES_PER_MACHINE: usize = 24;
 
 /// Time until a machine that was heard for the first time is asked, if it does not report again by itself.
 const PROBE_AFTER_CONTACT_MS: u64 = 1000;
@@ -91,7 +92,7 @@
         if m.address != r.address {
             m.address = r.address.clone();
         }
-        m.notice_at = r.notice_s.map(|s| now + (s * 1000.0) as u64);
+        m.notice_at = r.notice_s.map(|s| now + millis(s));
         if !m.contacted {
             m.contacted = true;
             m.last_heard = now;
@@ -111,7 +112,7 @@
         orders: &mut Vec<Command>,
     ) {
         let now = self.now;
-        let overdue = 3 * self.p.report_ms;
+        let overdue = 3 * self.params.report_ms;
         let m = self.machine_mut(i);
         // Something can be placed there from now on.
         let fresh = !m.current || now > m.last_heard + overdue;
@@ -313,7 +314,7 @@
             let took = self.now.saturating_sub(a.since) as f64 / 1000.0;
             if a.phase == Phase::Fetching && took > 0.5 && size > 0.0 {
                 let kind = self.machine(i).kind;
-                let first = self.types.get(kind).map_or(self.p.fetch_gb_per_s, |_| self.p.fetch_gb_per_s);
+                let first = self.types.get(kind).map_or(self.params.fetch_gb_per_s, |_| self.params.fetch_gb_per_s);
                 let rate = self.fetch_rate.entry(kind).or_insert(first);
                 *rate += 0.1 * (size / took - *rate);
             }
@@ -336,7 +337,7 @@
         }
         m.images.retain(|x| *x != image);
         m.images.push_back(image);
-        let oldest = if m.images.len() > IMAGES { m.images.pop_front() } else { None };
+        let oldest = if m.images.len() > IMAGES_PER_MACHINE { m.images.pop_front() } else { None };
         self.holders.entry(image).or_default().insert(i);
         if let Some(old) = oldest {
             self.let_image_go(i, old);
@@ -415,7 +416,7 @@
         job.failed_on.insert(i);
         let (fails_everywhere, proven) = (job.fails_everywhere(now), job.proven(now));
         if fails_everywhere {
-            job.not_before = now + (1000u64 << job.failures.min(6)).min(WAIT_MOST_MS);
+            job.not_before = now + (1000u64 << job.failures.min(6)).min(LONGEST_RETRY_DELAY_MS);
         }
         if !proven && job.failed_on.len() >= 2 {
             self.clear_suspicion(j);
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -2,12 +2,13 @@
 
 use super::*;
 use crate::placement::{Ask, Candidate, CLASSES};
+use crate::units::millis;
 
 /// The largest jobs, too, must begin within this time (PROTOCOL, additions), and this share of it is left to others.
-const BEGIN_MS: u64 = 240_000;
+const FIRST_TASK_DEADLINE_MS: u64 = 240_000;
 const PATIENCE: f64 = 0.4;
 /// No job waits for so long while a machine that fits has room (PROTOCOL, additions).
-const WAIT_MS: u64 = 90_000;
+const LONGEST_WAIT_MS: u64 = 90_000;
 /// Most tasks of one job placed in one pass; the rest follows in the next one, milliseconds later.
 const PLACED_PER_PASS: u32 = 2000;
 
@@ -54,7 +55,7 @@
 impl Scheduler {
     /// Jobs with tasks to place, in the order in which they are served.
     pub(super) fn queue(&mut self) -> Vec<usize> {
-        let mut asked = vec![[0u64; 2]; self.p.teams.len()];
+        let mut asked = vec![[0u64; 2]; self.params.teams.len()];
         let mut out = Vec::new();
         let now = self.now;
         for n in 0..self.by_age.len() {
@@ -62,7 +63,7 @@
             let job = self.job(i);
             let left = (job.tasks() - job.done_n) as u64;
             let within = job.team.is_some_and(|t| {
-                let g = self.p.teams[t].guarantee;
+                let g = self.params.teams[t].guarantee;
                 let a = &mut asked[t];
                 *a = [a[0] + left * job.need[0], a[1] + left * job.need[1]];
                 !job.ended && a[0] <= g[0] && (job.need[1] == 0 || a[1] <= g[1])
@@ -91,16 +92,16 @@
         if spec.kind == Kind::Service {
             return (1, j.submitted);
         }
-        let span = spec.deadline_s.map(|d| (d * 1000.0) as u64).or(self.p.finish_ms.get(&spec.class).copied());
+        let span = spec.deadline_s.map(millis).or(self.params.finish_ms.get(&spec.class).copied());
         let age = self.now.saturating_sub(j.submitted);
         let begun = j.done_n > 0 || !j.active.is_empty();
-        if !begun && age as f64 > BEGIN_MS as f64 * PATIENCE {
+        if !begun && age as f64 > FIRST_TASK_DEADLINE_MS as f64 * PATIENCE {
             return (0, j.submitted);
         }
         match span {
             Some(span) if age > span.saturating_mul(3) => (0, j.submitted),
             Some(span) if age > span => (2, j.submitted),
-            _ => (1, ((j.tasks() - j.done_n) as f64 * j.time_s() * 1000.0) as u64),
+            _ => (1, millis((j.tasks() - j.done_n) as f64 * j.time_s())),
         }
     }
 
@@ -108,7 +109,7 @@
     pub(super) fn quota_room(&self, j: &Job) -> u32 {
         let Some(t) = j.team else { return 0 };
         let room = |r: usize| {
-            self.p.teams[t].limit[r].saturating_sub(self.team_use[t][r]).checked_div(j.need[r]).unwrap_or(u64::MAX)
+            self.params.teams[t].limit[r].saturating_sub(self.team_use[t][r]).checked_div(j.need[r]).unwrap_or(u64::MAX)
         };
         room(0).min(room(1)).min(u32::MAX as u64) as u32
     }
@@ -124,9 +125,9 @@
             && m.state == MachineState::Up
             && m.notice_at.is_none()
             && m.not_before <= self.now
-            && self.now <= m.last_heard + 3 * self.p.report_ms
+            && self.now <= m.last_heard + 3 * self.params.report_ms
             // One that only direct orders reach is about to lose what it has.
-            && self.now <= m.last_answer + self.p.lease_ms / 2
+            && self.now <= m.last_answer + self.params.lease_ms / 2
     }
 
     /// How many more tasks of a job its zone rules allow in a zone.
@@ -223,7 +224,7 @@
                 out.push(candidate(i, m, room, holders.is_some_and(|h| h.contains(&i))));
             }
         }
-        if out.is_empty() || !self.p.transfer_test || self.impatient(job) || out.iter().all(|c| c.holder) {
+        if out.is_empty() || !self.params.transfer_test || self.impatient(job) || out.iter().all(|c| c.holder) {
             return out;
         }
         for &i in holders.into_iter().flatten() {
@@ -238,7 +239,7 @@
     /// Whether a job has waited so long that it takes what room there is: places on holders are expected to come free again
     /// and again, and over a slow link the wait for one may seem worth while for longer than a job may be left waiting.
     fn impatient(&self, job: &Job) -> bool {
-        self.now.saturating_sub(job.placed_at) as f64 > WAIT_MS as f64 * PATIENCE
+        self.now.saturating_sub(job.placed_at) as f64 > LONGEST_WAIT_MS as f64 * PATIENCE
     }
 
     /// CPUs of a machine that no service uses.
@@ -288,14 +289,14 @@
             candidates.retain(|c| Some(self.machine(c.machine).zone) == best);
         }
         let kind = self.machine(candidates[0].machine).kind;
-        let rate = self.fetch_rate.get(&kind).copied().unwrap_or(self.p.fetch_gb_per_s).max(0.001);
+        let rate = self.fetch_rate.get(&kind).copied().unwrap_or(self.params.fetch_gb_per_s).max(0.001);
         let ask = Ask {
             tasks: left,
             waiting: left,
             time_s: job.time_s(),
             transfer_s: job.record.spec.image_gb / rate,
-            group_factor: self.p.group_factor,
-            transfer_test: self.p.transfer_test && !self.impatient(job),
+            group_factor: self.params.group_factor,
+            transfer_test: self.params.transfer_test && !self.impatient(job),
         };
         // With a zone cap a machine may get less than planned; the plan then covers all machines.
         let capped = job.record.spec.scatter;
--- a/src/scheduler/start_log.rs
+++ b/src/scheduler/start_log.rs
@@ -191,8 +191,11 @@
 
     /// The epoch before kept no log: places nothing until every lease of it has surely run out or been renewed by this one.
     pub fn wait_for_lease_expiry(&mut self) {
-        self.place_from =
-            self.now + self.p.grace_ms + self.p.lease_ms + (self.p.grace_ms + self.p.lease_ms) / 100 + 1000;
+        self.place_from = self.now
+            + self.params.grace_ms
+            + self.params.lease_ms
+            + (self.params.grace_ms + self.params.lease_ms) / 100
+            + 1000;
     }
 
     /// Takes in the log of earlier epochs, after the machines and jobs: each task's last line says where it may be.
@@ -239,7 +242,7 @@
                 self.apply_event(j, t, TaskEvent::Stop { save: false });
             }
             // An earlier leader may have renewed its lease until its authority to do so ended.
-            let until = self.now + self.p.grace_ms + self.p.grace_ms / 500;
+            let until = self.now + self.params.grace_ms + self.params.grace_ms / 500;
             let m = self.machine_mut(l.machine);
             m.contacted = true;
             m.last_answer = until;
--- a/src/scheduler/tests/new_leader.rs
+++ b/src/scheduler/tests/new_leader.rs
@@ -93,7 +93,7 @@
     let new_leader = |answered: bool| {
         let mut w = World::new();
         // Reports come so seldom that waiting for them would take most of a lease.
-        w.scheduler.p.report_ms = 5000;
+        w.scheduler.params.report_ms = 5000;
         ["n-1", "n-2", "n-3"].iter().for_each(|n| w.known(n));
         w.job(spec("wk-1", 3), 50);
         w.inherit(&[("n-1", "wk-1/0", 7), ("n-2", "wk-1/1", 8), ("n-3", "wk-1/2", 9)]);
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Most entries of a `RecentMap`.
-pub(super) const RECENT: usize = 20_000;
+pub(super) const RECENT_LIMIT: usize = 20_000;
 
 /// What a change of the mirror means to its node.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -72,7 +72,7 @@
             return;
         }
         self.order.push_back(key.to_string());
-        if self.order.len() > RECENT {
+        if self.order.len() > RECENT_LIMIT {
             if let Some(oldest) = self.order.pop_front() {
                 self.entries.remove(&oldest);
             }
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,6 +1,6 @@
 //! Keys, transactions and the mirror.
 
-use super::mirror::RECENT;
+use super::mirror::RECENT_LIMIT;
 use super::records::text_to_bits;
 use super::*;
 use crate::protocol::{Change, Event, Txn};
@@ -64,7 +64,7 @@
     let now = m.generation;
     // Users who ask for anything cost bounded memory.
     (0..50_000).for_each(|n| m.remember_absent(&format!("wk-{n}"), now));
-    assert!(m.absent.entries.len() <= RECENT && m.absent.order.len() <= RECENT);
+    assert!(m.absent.entries.len() <= RECENT_LIMIT && m.absent.order.len() <= RECENT_LIMIT);
     assert!(m.absent("wk-49999") && !m.absent("wk-9"));
 }
 
