--- a/src/node/controller.rs
+++ b/src/node/controller.rs
@@ -1,8 +1,21 @@
 //! What a node knows and decides, without I/O: the loops of this module's siblings carry out what it asks for, and the
 //! tests drive it with a scripted store, workers and peers.
 
-use super::*;
+use super::WorkerAnswer;
+use crate::config::Settings;
+use crate::fleet::Fleet;
+use crate::leader::{Authority, Event, Leadership, Term};
+use crate::pacer::{users_share, Pacer};
+use crate::peer::{CancellationNotices, Cancelled, CancelledJob, Notice, PeerHealth, View};
+use crate::protocol as wire;
+use crate::protocol::{JobSpec, JobState, JobView, Kind, MachineType, Report};
+use crate::rate::{RateMeter, TokenBucket};
+use crate::scheduler::{Arrival, Direct, Origin, Params, ReportOutcome, Scheduler};
+use crate::store::{LeaderRecord, Mirror, MirrorChange, OverRecord, Versioned};
 use crate::units::millis;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
 
 /// Most unregistered machines that are remembered at a time, so that reports in made-up names cost bounded memory; some times
 /// the largest fleet. The rest is remembered when it reports or is listed again.
@@ -35,7 +48,7 @@
     Steady(Instant),
     /// A test's.
     #[cfg(test)]
-    Scripted(Rc<Cell<u64>>),
+    Scripted(std::rc::Rc<std::cell::Cell<u64>>),
 }
 
 /// When the leader's next round of each kind is due.
--- a/src/node/election.rs
+++ b/src/node/election.rs
@@ -1,7 +1,17 @@
 //! Leadership, and the leader's work: placing, sending, durable writes.
 
-use super::*;
+use super::controller::{Pass, FLUSH_MS, PASS_MS};
+use super::{pause, Shared};
+use crate::leader::{Authority, Event, Term};
+use crate::permit::while_permitted;
+use crate::protocol as wire;
+use crate::store::{Decided, LeaderRecord, StoreError};
 use crate::units::millis;
+use crate::{store, worker};
+use rand::Rng;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
 
 impl Shared {
     pub(super) async fn leadership(self) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,33 +8,20 @@
 mod tests;
 mod user_requests;
 
-use self::controller::{
-    over_view, Clock, ControllerState, Pass, UnregisteredMachine, FLUSH_MS, PASS_MS, UNREGISTERED_LIMIT,
-};
-use crate::cloud::{CloudClient, Rented, RELEASE_MOST};
+use self::controller::{Clock, ControllerState, PASS_MS};
+use crate::cloud::CloudClient;
 use crate::config::Settings;
-use crate::fleet::{Fleet, RentalRequest};
-use crate::leader::{Authority, Event, Leadership, Term};
-use crate::pacer::{users_share, Pacer};
-use crate::peer::{self, CancellationNotices, Cancelled, CancelledJob, Notice, PeerHealth, View};
-use crate::permit::while_permitted;
-use crate::protocol::{
-    self as wire, JobSpec, JobState, JobView, Kind, MachineType, RentRequest, Report, ReportReply, Txn,
-};
-use crate::rate::{RateMeter, TokenBucket};
-use crate::scheduler::{Arrival, Direct, MachineState, Offer, Origin, Params, ReportOutcome, Scheduler};
-use crate::store::{
-    self, guard, put, Decided, LeaderRecord, LiveRecord, Mirror, MirrorChange, OverRecord, RentalRecord, StoreClient,
-    StoreError, Versioned,
-};
+use crate::leader::Event;
+use crate::peer::{self, Cancelled, View};
+use crate::protocol::{JobSpec, JobView, Report, ReportReply, Txn};
+use crate::store::{self, guard, Decided, StoreClient, StoreError};
 use crate::worker;
 use actix::prelude::*;
 use futures_util::future::{select, Either};
 use rand::Rng;
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch, Notify};
 
 /// A user submits a job.
--- a/src/node/persistence.rs
+++ b/src/node/persistence.rs
@@ -1,8 +1,13 @@
 //! The leader's rounds and its books: what it sends, and the transactions that make its decisions durable.
 
 use super::controller::{ControllerState, Pass, FLUSH_MS, PASS_MS, PAUSE_MS, TICK_MS};
-use super::*;
+use crate::leader::{Authority, Term};
+use crate::protocol as wire;
+use crate::protocol::{Report, Txn};
+use crate::scheduler::Direct;
 use crate::scheduler::{Append, DoneChunk};
+use crate::store;
+use crate::store::{guard, put, Decided, OverRecord, RentalRecord, StoreError};
 
 /// Time between two looks of a follower at whether its process stood still; shorter than what counts as a pause.
 const FOLLOWER_TICK_MS: u64 = PAUSE_MS / 2;
--- a/src/node/provisioning.rs
+++ b/src/node/provisioning.rs
@@ -1,7 +1,20 @@
 //! The leader's dealings with the cloud.
 
-use super::*;
+use super::controller::{UnregisteredMachine, CLOUD_SHARE, UNREGISTERED_LIMIT};
+use super::{pause, Shared};
+use crate::cloud::{Rented, RELEASE_MOST};
+use crate::fleet::RentalRequest;
+use crate::leader::{Authority, Term};
+use crate::permit::while_permitted;
+use crate::protocol::{MachineType, RentRequest, Txn};
+use crate::scheduler::{Direct, MachineState, Offer, Origin};
+use crate::store::{guard, put, Decided, RentalRecord};
 use crate::units::millis;
+use crate::{store, worker};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
 
 /// Time between two rounds of the fleet's decisions.
 const FLEET_MS: u64 = 200;
@@ -106,7 +119,7 @@
         let next = {
             let mut controller = self.controller.borrow_mut();
             let now = controller.now();
-            let call_ms = 1000.0 / (controller.settings.platform.deployment.cloud.rps * controller::CLOUD_SHARE);
+            let call_ms = 1000.0 / (controller.settings.platform.deployment.cloud.rps * CLOUD_SHARE);
             controller.fleet.next_request(rental_requests, (REST_CALLS * call_ms) as u64, now)
         };
         match next {
--- a/src/node/user_requests.rs
+++ b/src/node/user_requests.rs
@@ -1,6 +1,11 @@
 //! What users ask: submissions, polls, cancellations.
 
-use super::*;
+use super::controller::over_view;
+use super::{pause, Answer, Shared};
+use crate::peer::{CancelledJob, Notice};
+use crate::protocol::{JobSpec, JobState, JobView, Txn};
+use crate::store;
+use crate::store::{Decided, LiveRecord, OverRecord, StoreError, Versioned};
 
 /// Between two looks at whether the leader knows of a cancellation.
 const ACKNOWLEDGEMENT_POLL_MS: u64 = 10;
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -1,8 +1,14 @@
 //! Demand: what finds no room, how much of each machine is used, and which machines are more than is needed.
 
+use super::jobs::Job;
+use super::machine::{Machine, MachineState, Offer};
 use super::preemption::FailedSearch;
+use super::resources::{fits, less, more, Amounts};
 use super::scheduling_pass::UnplaceableRequests;
-use super::*;
+use super::tasks::TaskEvent;
+use super::Scheduler;
+use crate::protocol::Kind;
+use std::collections::HashMap;
 
 /// How much of a machine is used, for the fleet.
 #[derive(Debug, Clone, Copy)]
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -1,6 +1,12 @@
 //! Jobs at work: what is done, what is pending, what failed.
 
-use super::*;
+use super::resources::{amounts, Amounts};
+use super::tasks::{Phase, TaskAttempt, TaskEvent};
+use super::{Scheduler, FAULTY_JOB_MACHINES, PROVEN_RUN_MS};
+use crate::placement;
+use crate::protocol::Kind;
+use crate::store::{LiveRecord, CHUNK};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// A job at work.
 pub struct Job {
--- a/src/scheduler/machine.rs
+++ b/src/scheduler/machine.rs
@@ -1,6 +1,9 @@
 //! What is known of one machine.
 
-use super::*;
+use super::resources::Amounts;
+use crate::placement::Capability;
+use crate::protocol::Command;
+use std::collections::{BTreeSet, VecDeque};
 
 /// Where a machine stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/scheduler/machines.rs
+++ b/src/scheduler/machines.rs
@@ -1,9 +1,15 @@
 //! Machines: what becomes of them, what is sent to them, what time alone brings.
 
+use super::machine::{Direct, Hardware, Machine, MachineState, Offer, Origin};
+use super::reports::Arrival;
 use super::start_log::plain;
-use super::*;
+use super::tasks::{Phase, TaskEvent};
+use super::Scheduler;
+use crate::placement::Capability;
 use crate::protocol::{split_task, Report};
+use crate::protocol::{Command, Kind};
 use crate::units::millis;
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 
 /// A margin beside the drift of clocks, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 500;
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -31,15 +31,10 @@
 pub use start_log::Append;
 pub use tasks::{Phase, TaskAttempt};
 
-use crate::placement::{self, Capability};
-use crate::protocol::{Command, Kind, MachineType, Priority, ReportReply};
-use crate::store::{LiveRecord, CHUNK};
+use crate::protocol::{MachineType, ReportReply};
 use boot_times::BootTimes;
-use jobs::{bit, set_bit};
-use resources::{amounts, fits, less, more};
 use start_log::StartLog;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
-use tasks::TaskEvent;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A job that has failed on so many machines, and of which no task has finished, is taken for one with a mistake.
 const FAULTY_JOB_MACHINES: usize = 3;
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -1,8 +1,12 @@
 //! Preemption: whose work is stopped to make room, or to let a team at its limit run what matters more.
 
 use super::demand::Pool;
-use super::*;
+use super::resources::{fits, less, more, Amounts};
+use super::tasks::TaskEvent;
+use super::Scheduler;
+use crate::protocol::Priority;
 use std::cmp::Reverse;
+use std::collections::HashMap;
 
 /// A start counts for its users if nothing stops the task within this time.
 const SETTLED_RUN_MS: u64 = 30_000;
--- a/src/scheduler/reports.rs
+++ b/src/scheduler/reports.rs
@@ -1,8 +1,14 @@
 //! Reports: what workers say of their machines, and what follows from it.
 
-use super::*;
+use super::jobs::{bit, set_bit};
+use super::machine::MachineState;
+use super::tasks::{Phase, TaskAttempt, TaskEvent};
+use super::{ReportOutcome, Scheduler, TOKEN_BITS};
 use crate::protocol::{split_task, ExitReason, Report, TaskReport, TaskState};
+use crate::protocol::{Command, Kind, ReportReply};
+use crate::store::CHUNK;
 use crate::units::millis;
+use std::collections::HashSet;
 
 /// Most commands in one message to a worker: keeps it far below 64 KiB. The rest follows in the next one.
 pub(super) const COMMANDS_PER_MESSAGE: usize = 300;
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -1,8 +1,15 @@
 //! Where tasks go: the order of jobs, what may host them, and one pass over both.
 
-use super::*;
+use super::jobs::Job;
+use super::machine::{Machine, MachineState};
+use super::resources::{fits, Amounts};
+use super::tasks::{Phase, TaskEvent};
+use super::{Scheduler, TOKEN_BITS};
+use crate::placement;
 use crate::placement::{Ask, Candidate, CLASSES};
+use crate::protocol::{Kind, Priority};
 use crate::units::millis;
+use std::collections::{BTreeMap, HashMap};
 
 /// The largest jobs, too, must begin within this time (PROTOCOL, additions), and this share of it is left to others.
 const FIRST_TASK_DEADLINE_MS: u64 = 240_000;
--- a/src/scheduler/start_log.rs
+++ b/src/scheduler/start_log.rs
@@ -6,7 +6,10 @@
 //! a task that has ended since stays until its slot is taken; of two lines for one task the larger attempt is the later
 //! one, and it was written after the earlier one had been proven gone.
 
-use super::*;
+use super::jobs::bit;
+use super::tasks::{Phase, TaskEvent};
+use super::Scheduler;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write;
 
 /// A start that is or will be in the log.
--- a/src/scheduler/tasks.rs
+++ b/src/scheduler/tasks.rs
@@ -1,6 +1,9 @@
 //! Tasks that are or may be on a machine, and the one function for every change of them.
 
-use super::*;
+use super::jobs::bit;
+use super::resources::less;
+use super::Scheduler;
+use crate::protocol::Kind;
 
 /// Where an active task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/scheduler/tests/health.rs
+++ b/src/scheduler/tests/health.rs
@@ -1,6 +1,7 @@
 //! Machines and jobs that fail, silence, cut zones, notices.
 
 use super::*;
+use std::collections::HashSet;
 
 #[test]
 fn when_many_fall_together_replicas_come_back_first() {
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -8,7 +8,8 @@
 mod start_log;
 
 use super::*;
-use crate::protocol::{ExitReason, JobSpec, Report, TaskReport, TaskState};
+use crate::protocol::{Command, ExitReason, JobSpec, Kind, Priority, Report, TaskReport, TaskState};
+use crate::store::LiveRecord;
 
 const LEASE: u64 = 12_000;
 
