Metrics and status lines that tell the causes of unanswered polls apart

The incident left no logs. Each hypothesis about it now has figures of its own: open connections by client and idleness and the wait for the connection limit; slots of the concurrency limit against users that wait; loads of the replica and linearizable reads by outcome; reads of the store for polls, admitted and refused; delays of timers and starts of processes. Requests to the store are counted by kind and outcome, heartbeats and withheld commands by answer.

GET /metrics at the internal address (prometheus-client), five lines every 10 s at info, and lines for loads of the replica and changes of health. No decision changes. Loading a replica moved from store/client to store/loading.

--- a/src/admission/concurrency_limit.rs
+++ b/src/admission/concurrency_limit.rs
@@ -141,6 +141,12 @@
         self.peak_in_progress = self.in_progress;
     }
 
+    /// Returns the number of requests in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.in_progress
+    }
+
     /// Returns the current limit on the number of requests in progress.
     #[must_use]
     pub fn limit(&self) -> usize {
--- a/src/api/connections.rs
+++ b/src/api/connections.rs
@@ -3,8 +3,10 @@
 #[cfg(test)]
 mod tests;
 
+use super::connection_activity::ActivityTable;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// Counts the open connections of all servers, up to a limit. Clones share the count.
@@ -12,6 +14,9 @@
 pub(super) struct Connections {
     open_count: Rc<Cell<usize>>,
     limit: usize,
+    activity: ActivityTable,
+    /// Longest time that a server waited for capacity since [`Connections::take_longest_wait`].
+    longest_wait: Rc<Cell<Duration>>,
     /// Wakes a server that waits for capacity.
     connection_closed: Rc<Notify>,
 }
@@ -25,6 +30,8 @@
         Connections {
             open_count: Rc::default(),
             limit,
+            activity: ActivityTable::default(),
+            longest_wait: Rc::default(),
             connection_closed: Rc::default(),
         }
     }
@@ -45,10 +52,33 @@
 
     /// Waits until the number of open connections is below the limit.
     pub(super) async fn wait_for_capacity(&self) {
+        let waiting_since = Instant::now();
         while self.open_count.get() >= self.limit {
             self.connection_closed.notified().await;
+            let longest = self.longest_wait.get().max(waiting_since.elapsed());
+            self.longest_wait.set(longest);
         }
     }
+
+    /// Returns the limit on open connections.
+    pub(super) fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Returns the number of open connections.
+    pub(super) fn open_count(&self) -> usize {
+        self.open_count.get()
+    }
+
+    /// Returns the longest time that a server waited for capacity since the last call. A wait counts once it has ended.
+    pub(super) fn take_longest_wait(&self) -> Duration {
+        self.longest_wait.take()
+    }
+
+    /// Returns what the connections are used for.
+    pub(super) fn activity(&self) -> &ActivityTable {
+        &self.activity
+    }
 }
 
 impl Drop for ConnectionGuard {
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -5,11 +5,14 @@
 //! body. The handlers themselves reject only malformed requests and user requests beyond the
 //! [concurrency limit](crate::admission::concurrency_limit).
 
+mod connection_activity;
 mod connections;
 mod health;
+mod metrics;
 mod peers;
 mod responses;
 mod server;
+mod status;
 #[cfg(test)]
 mod tests;
 mod users;
@@ -22,6 +25,9 @@
 use actix_web::http::StatusCode;
 use actix_web::{web, App};
 use connections::Connections;
+use metrics::ApiMetrics;
+use prometheus_client::registry::Registry;
+use status::StatusGauges;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 
@@ -46,9 +52,28 @@
     controller: Addr<Controller>,
     concurrency_limit: RefCell<ConcurrencyLimit>,
     connections: Connections,
+    metrics: ApiMetrics,
+    status_gauges: StatusGauges,
+    registry: Registry,
 }
 
 impl ApiState {
+    /// Creates the state and registers the metrics of the API, next to those that the registry has already.
+    fn new(controller: Addr<Controller>, connections: Connections, mut registry: Registry) -> Self {
+        let metrics = ApiMetrics::default();
+        metrics.register(&mut registry);
+        let status_gauges = StatusGauges::new(&mut registry);
+        let max_user_requests = connections.limit() / CONNECTIONS_PER_USER_REQUEST;
+        ApiState {
+            controller,
+            concurrency_limit: RefCell::new(ConcurrencyLimit::new(max_user_requests)),
+            connections,
+            metrics,
+            status_gauges,
+            registry,
+        }
+    }
+
     /// Runs a closure with the concurrency limit. The closure is synchronous, so no borrow is held across an `await`.
     fn with_concurrency_limit<T>(&self, access: impl FnOnce(&mut ConcurrencyLimit) -> T) -> T {
         access(&mut self.concurrency_limit.borrow_mut())
@@ -66,23 +91,21 @@
     Everyone,
 }
 
-/// Serves both addresses until the process ends, with at most `max_connections` open at a time.
+/// Serves both addresses until the process ends, with at most `max_connections` open at a time. The metrics in `registry` and
+/// those of the API are served to operators.
 ///
 /// # Errors
 ///
 /// Returns an error if a server cannot listen on its address, or if an application cannot be initialized or has stopped.
 pub async fn serve(
     controller: Addr<Controller>,
+    registry: Registry,
     addresses: Addresses,
     max_connections: usize,
 ) -> std::io::Result<()> {
     let connections = Connections::new(max_connections);
-    let max_user_requests = max_connections / CONNECTIONS_PER_USER_REQUEST;
-    let state = web::Data::new(ApiState {
-        controller,
-        concurrency_limit: RefCell::new(ConcurrencyLimit::new(max_user_requests)),
-        connections: connections.clone(),
-    });
+    let state = web::Data::new(ApiState::new(controller, connections.clone(), registry));
+    actix::spawn(status::run_status_log(state.clone()));
     // A closure rather than a function, since the type of an application cannot be named.
     let app = |audience: Audience| {
         App::new()
@@ -128,7 +151,7 @@
         .service(web::resource("/v1/jobs/{id}/abort").route(web::post().to(users::cancel)));
 }
 
-/// Configures the routes for peers.
+/// Configures the routes for peers, and for operators, who have access to the same address.
 fn configure_peer_routes(config: &mut web::ServiceConfig) {
     let limit = || web::PayloadConfig::new(crate::coordination::peers::MAX_MESSAGE_BYTES);
     config
@@ -137,6 +160,7 @@
                 .app_data(limit())
                 .route(web::post().to(peers::view)),
         )
+        .service(web::resource("/metrics").route(web::get().to(status::metrics)))
         .service(
             web::resource("/peer/cancelled")
                 .app_data(limit())
--- a/src/api/peers.rs
+++ b/src/api/peers.rs
@@ -1,12 +1,18 @@
 //! Messages from peers, which are the other controllers.
 
+use super::connection_activity::{record_request, Client};
 use super::{responses, ApiState};
 use crate::controller::{PeerCancelled, PeerView};
 use crate::coordination::peers::{decode, encode, Cancelled, View};
-use actix_web::{web, HttpResponse};
+use actix_web::{web, HttpRequest, HttpResponse};
 
 /// `POST /peer/view`: receives the view of a peer and responds with the view of this controller.
-pub(super) async fn view(state: web::Data<ApiState>, body: web::Bytes) -> HttpResponse {
+pub(super) async fn view(
+    state: web::Data<ApiState>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    record_request(&request, Client::Peer);
     let Some(view) = decode::<View>(&body) else {
         return responses::malformed();
     };
@@ -18,7 +24,12 @@
 
 /// `POST /peer/cancelled`: receives durable cancellations from a peer and responds with the revision that this controller's
 /// replica has reached.
-pub(super) async fn cancelled(state: web::Data<ApiState>, body: web::Bytes) -> HttpResponse {
+pub(super) async fn cancelled(
+    state: web::Data<ApiState>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    record_request(&request, Client::Peer);
     let Some(cancelled) = decode::<Cancelled>(&body) else {
         return responses::malformed();
     };
--- a/src/api/server.rs
+++ b/src/api/server.rs
@@ -46,7 +46,9 @@
     let app = app
         .into_factory()
         .map_err(|error: Error| error.error_response());
+    let activity = connections.activity().clone();
     let service = HttpService::build()
+        .on_connect_ext(move |_: &TcpStream, extensions| activity.track(extensions))
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(REQUEST_HEAD_TIMEOUT)
         .local_addr(address)
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -3,8 +3,8 @@
 use super::connections::Connections;
 use super::users::{self, job_response};
 use super::workers::heartbeat_response;
-use super::ApiState;
-use crate::admission::concurrency_limit::{ConcurrencyLimit, RequestKind};
+use super::{configure_routes, ApiState, Audience, CONNECTIONS_PER_USER_REQUEST};
+use crate::admission::concurrency_limit::RequestKind;
 use crate::config::tests::settings;
 use crate::controller::{
     Controller, HeartbeatOutcome, HeartbeatResponse, JobOutcome, JobRejection,
@@ -13,8 +13,9 @@
 use actix::Actor;
 use actix_web::body::MessageBody;
 use actix_web::http::ConnectionType;
-use actix_web::web;
-use std::cell::RefCell;
+use actix_web::test::{call_service, init_service, read_body, TestRequest};
+use actix_web::{web, App};
+use prometheus_client::registry::Registry;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -122,13 +123,13 @@
 
 #[actix_web::test]
 async fn a_request_beyond_the_concurrency_limit_gets_429_with_retry_after() {
-    let state = web::Data::new(ApiState {
-        controller: Controller::new(settings()).start(),
-        concurrency_limit: RefCell::new(ConcurrencyLimit::new(8)),
-        connections: Connections::new(8),
-    });
+    let controller = Controller::new(settings()).start();
+    let connections = Connections::new(8 * CONNECTIONS_PER_USER_REQUEST);
+    let state = web::Data::new(ApiState::new(controller, connections, Registry::default()));
     while state.with_concurrency_limit(|limit| limit.try_acquire(RequestKind::Change)) {}
-    let response = users::poll(state, web::Path::from("wk-000412".to_string())).await;
+    let request = TestRequest::default().to_http_request();
+    let id = web::Path::from("wk-000412".to_string());
+    let response = users::poll(state, request, id).await;
     let retry_after = response.headers().get("retry-after").unwrap();
     assert_eq!(
         (response.status().as_u16(), retry_after.to_str().unwrap()),
@@ -137,3 +138,28 @@
     let body = response.into_body().try_into_bytes().unwrap();
     assert_eq!(&body[..], b"\xa1eerrorx\x1dtoo many requests in progress");
 }
+
+#[actix_web::test]
+async fn metrics_are_served_to_peers_and_not_to_users() {
+    let controller = Controller::new(settings()).start();
+    let registry = Registry::with_prefix("hollowswitch");
+    let connections = Connections::new(8 * CONNECTIONS_PER_USER_REQUEST);
+    let state = web::Data::new(ApiState::new(controller, connections, registry));
+    let status_and_body = async |audience| {
+        let app = App::new()
+            .app_data(state.clone())
+            .configure(|config| configure_routes(config, audience));
+        let app = init_service(app).await;
+        let request = TestRequest::get().uri("/metrics").to_request();
+        let response = call_service(&app, request).await;
+        (response.status().as_u16(), read_body(response).await)
+    };
+    let (status, body) = status_and_body(Audience::Peers).await;
+    let body = String::from_utf8(body.to_vec()).unwrap();
+    assert_eq!(status, 200);
+    assert!(
+        body.contains("hollowswitch_concurrency_limit 2\n"),
+        "{body}"
+    );
+    assert_eq!(status_and_body(Audience::Public).await.0, 404);
+}
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -1,11 +1,13 @@
 //! Users' requests: submissions, polls and cancellations of jobs.
 
+use super::connection_activity::{record_request, Client};
+use super::metrics::UserAnswer;
 use super::{responses, ApiState};
 use crate::admission::concurrency_limit::{Completion, RequestKind};
 use crate::controller::{Cancel, JobOutcome, Poll, Submit};
 use crate::protocol::{decode, is_job_id, JobSpec};
 use actix_web::http::StatusCode;
-use actix_web::{web, HttpResponse};
+use actix_web::{web, HttpRequest, HttpResponse};
 use std::future::Future;
 use std::time::{Duration, Instant};
 
@@ -13,33 +15,48 @@
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// `POST /v1/jobs`: submits a job.
-pub(super) async fn submit(state: web::Data<ApiState>, body: web::Bytes) -> HttpResponse {
+pub(super) async fn submit(
+    state: web::Data<ApiState>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    record_request(&request, Client::User);
     let Ok(spec) = decode::<JobSpec>(&body) else {
         return responses::malformed();
     };
     if let Err(invalid) = spec.validate() {
         return responses::error(StatusCode::BAD_REQUEST, &invalid.to_string());
     }
-    let request = async { state.controller.send(Submit(spec)).await.ok() };
-    respond_within_limit(&state, RequestKind::Change, request).await
+    let outcome = async { state.controller.send(Submit(spec)).await.ok() };
+    respond_within_limit(&state, RequestKind::Change, outcome).await
 }
 
 /// `GET /v1/jobs/{id}`: returns the state of a job.
-pub(super) async fn poll(state: web::Data<ApiState>, id: web::Path<String>) -> HttpResponse {
+pub(super) async fn poll(
+    state: web::Data<ApiState>,
+    request: HttpRequest,
+    id: web::Path<String>,
+) -> HttpResponse {
+    record_request(&request, Client::User);
     if !is_job_id(&id) {
         return no_such_job();
     }
-    let request = async { state.controller.send(Poll(id.into_inner())).await.ok() };
-    respond_within_limit(&state, RequestKind::Query, request).await
+    let outcome = async { state.controller.send(Poll(id.into_inner())).await.ok() };
+    respond_within_limit(&state, RequestKind::Query, outcome).await
 }
 
 /// `POST /v1/jobs/{id}/abort`: cancels a job.
-pub(super) async fn cancel(state: web::Data<ApiState>, id: web::Path<String>) -> HttpResponse {
+pub(super) async fn cancel(
+    state: web::Data<ApiState>,
+    request: HttpRequest,
+    id: web::Path<String>,
+) -> HttpResponse {
+    record_request(&request, Client::User);
     if !is_job_id(&id) {
         return no_such_job();
     }
-    let request = async { state.controller.send(Cancel(id.into_inner())).await.ok() };
-    respond_within_limit(&state, RequestKind::Change, request).await
+    let outcome = async { state.controller.send(Cancel(id.into_inner())).await.ok() };
+    respond_within_limit(&state, RequestKind::Change, outcome).await
 }
 
 /// Runs a request to the controller if the concurrency limit admits it, and maps its outcome to a response. The request returns
@@ -50,10 +67,12 @@
     request: impl Future<Output = Option<JobOutcome>>,
 ) -> HttpResponse {
     if !state.with_concurrency_limit(|limit| limit.try_acquire(kind)) {
+        state.metrics.record_user_answer(UserAnswer::OverLimit);
         let overloaded = StatusCode::TOO_MANY_REQUESTS;
         let reason = "too many requests in progress";
         return responses::retry_later(overloaded, reason, OVERLOAD_RETRY_AFTER);
     }
+    let waiting = state.metrics.track_waiting_user();
     let started = Instant::now();
     let outcome = request.await.unwrap_or(JobOutcome::RETRY_SOON);
     let completion = match outcome {
@@ -61,6 +80,8 @@
         _ => Completion::Served(started.elapsed()),
     };
     state.with_concurrency_limit(|limit| limit.release(completion));
+    state.metrics.record_user_answer(UserAnswer::from(&outcome));
+    waiting.answered();
     job_response(outcome)
 }
 
--- a/src/controller/actor.rs
+++ b/src/controller/actor.rs
@@ -5,8 +5,10 @@
     Cancel, Health, Heartbeat, HeartbeatResponse, JobOutcome, PeerCancelled, PeerView, Poll, Submit,
 };
 use super::state::ControllerState;
+use super::status::GetStatus;
 use crate::config::Settings;
 use actix::prelude::*;
+use prometheus_client::registry::Registry;
 
 /// The controller actor. All of its state belongs to one thread, on which its loops and handlers run cooperatively.
 pub struct Controller {
@@ -20,6 +22,12 @@
             handles: Handles::new(settings),
         }
     }
+
+    /// Registers the metrics of this controller and of its client of the state service.
+    pub(crate) fn register_metrics(&self, registry: &mut Registry) {
+        self.handles.metrics.register(registry);
+        self.handles.store.metrics().register(registry);
+    }
 }
 
 impl Actor for Controller {
@@ -29,6 +37,10 @@
     /// [`crate::service::run`] is dropped, at the end of the process. No cleanup is needed then, since everything that must
     /// survive is in the store.
     fn started(&mut self, _: &mut Self::Context) {
+        self.handles.read_state(|state| {
+            let identity = state.identity();
+            tracing::info!(node = %identity.node, incarnation = identity.incarnation, "controller started");
+        });
         let handles = || self.handles.clone();
         actix::spawn(handles().run_watch_loop());
         actix::spawn(handles().run_read_barrier_loop());
@@ -69,7 +81,14 @@
 impl Handler<Health> for Controller {
     type Result = bool;
     fn handle(&mut self, _: Health, _: &mut Self::Context) -> bool {
-        self.handles.read_state(ControllerState::is_healthy)
+        self.handles.update_state(ControllerState::report_health)
+    }
+}
+
+impl Handler<GetStatus> for Controller {
+    type Result = MessageResult<GetStatus>;
+    fn handle(&mut self, _: GetStatus, _: &mut Self::Context) -> Self::Result {
+        MessageResult(self.handles.status())
     }
 }
 
--- a/src/controller/handles.rs
+++ b/src/controller/handles.rs
@@ -1,6 +1,7 @@
 //! The clients, notifications and state that the loops of a controller share.
 
 use super::clock::Clock;
+use super::metrics::ControllerMetrics;
 use super::state::ControllerState;
 use crate::clients::cloud::CloudClient;
 use crate::clients::http::http_client;
@@ -19,6 +20,7 @@
     pub(super) store: StoreClient,
     pub(super) cloud: CloudClient,
     pub(super) http: awc::Client,
+    pub(super) metrics: ControllerMetrics,
     /// Publishes the revision that the replica of the store has reached.
     pub(super) replica_revision: Rc<watch::Sender<Revision>>,
     /// Wakes the election loop: leadership may be vacant.
@@ -53,6 +55,7 @@
             store: StoreClient::new(http.clone(), external.state),
             cloud: CloudClient::new(http.clone(), external.cloud),
             http,
+            metrics: ControllerMetrics::default(),
             replica_revision: Rc::new(watch::channel(Revision::ZERO).0),
             campaign_requested: Rc::default(),
             read_requested: Rc::default(),
--- a/src/controller/messages.rs
+++ b/src/controller/messages.rs
@@ -94,3 +94,11 @@
     /// When the authority under which the outcome was decided ends; a reply must not be sent later.
     pub valid_until: Option<Instant>,
 }
+
+impl HeartbeatResponse {
+    /// Reports whether a reply may still be sent at `now`.
+    #[must_use]
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.valid_until.is_some_and(|until| now < until)
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -15,11 +15,13 @@
 mod handles;
 mod job_status;
 mod messages;
+mod metrics;
 mod peer_view_loop;
 mod read_barrier_loop;
 mod scheduling_loop;
 mod start_log_loop;
 mod state;
+mod status;
 mod store_calls;
 #[cfg(test)]
 mod tests;
@@ -31,3 +33,5 @@
     Cancel, Health, Heartbeat, HeartbeatOutcome, HeartbeatResponse, JobOutcome, JobRejection,
     PeerCancelled, PeerView, Poll, Submit,
 };
+pub use metrics::ReadTotals;
+pub use status::{ControllerStatus, GetStatus};
--- a/src/controller/read_barrier_loop.rs
+++ b/src/controller/read_barrier_loop.rs
@@ -1,6 +1,7 @@
 //! Sends read barriers, which make reads of the replica linearizable and extend the leader's authority.
 
 use super::handles::Handles;
+use super::metrics::ReadOutcome;
 use super::state::{ControllerState, ReadBarrier};
 use crate::coordination::leadership::LeadershipEvent;
 use std::time::Duration;
@@ -60,8 +61,13 @@
                 .await;
             reached.map(drop).map_err(|_| ReplicaLags)
         };
-        tokio::time::timeout(READ_TIMEOUT, catch_up)
+        let read = tokio::time::timeout(READ_TIMEOUT, catch_up)
             .await
-            .unwrap_or(Err(ReplicaLags))
+            .unwrap_or(Err(ReplicaLags));
+        self.metrics.record_linearizable_read(match read {
+            Ok(()) => ReadOutcome::Completed,
+            Err(ReplicaLags) => ReadOutcome::Failed,
+        });
+        read
     }
 }
--- a/src/controller/scheduling_loop.rs
+++ b/src/controller/scheduling_loop.rs
@@ -8,6 +8,7 @@
 use crate::scheduler::DirectCommands;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::time::{sleep, timeout};
 
 impl Handles {
@@ -20,9 +21,7 @@
         });
         let in_flight = Rc::new(Cell::new(0usize));
         loop {
-            let until_next_round = self.read_state(ControllerState::until_next_round);
-            // A requested round and one that is due by time are handled alike.
-            let _ = timeout(until_next_round, self.round_requested.notified()).await;
+            self.wait_for_round().await;
             let limits = SendLimits {
                 messages: max_messages.saturating_sub(in_flight.get()),
                 probes: max_messages / 4,
@@ -45,6 +44,17 @@
         }
     }
 
+    /// Waits until a round is requested or due by time, which are handled alike.
+    async fn wait_for_round(&self) {
+        let until_next_round = self.read_state(ControllerState::until_next_round);
+        let waiting_since = Instant::now();
+        let requested = timeout(until_next_round, self.round_requested.notified()).await;
+        if requested.is_err() {
+            let delay = waiting_since.elapsed().saturating_sub(until_next_round);
+            self.metrics.record_timer_delay(delay);
+        }
+    }
+
     /// Sends direct commands to a worker. Returns the status in the response of the worker.
     pub(super) async fn send_directly(
         &self,
@@ -64,9 +74,11 @@
         in_flight.set(in_flight.get() + 1);
         actix::spawn(async move {
             let authorized = || handles.read_state(|state| state.may_send_direct(term, &message));
-            let response = while_authorized(authorized, handles.send_directly(&message))
-                .await
-                .and_then(Result::ok);
+            let response = while_authorized(authorized, handles.send_directly(&message)).await;
+            if response.is_none() {
+                handles.metrics.record_withheld_commands();
+            }
+            let response = response.and_then(Result::ok);
             in_flight.set(in_flight.get() - 1);
             handles.update_state(|state| {
                 state.handle_direct_response(term, &message, response.as_ref());
--- a/src/controller/state.rs
+++ b/src/controller/state.rs
@@ -77,6 +77,8 @@
     /// Number of rental requests that this process has made. It is part of their names, which keeps them unique.
     rental_requests_made: u64,
     waiting_reads: WaitingReads,
+    /// The health that was last reported to the load balancer.
+    reported_health: Option<bool>,
 }
 
 impl ControllerState {
@@ -107,6 +109,7 @@
             rental_reconciliation: RentalReconciliation::default(),
             rental_requests_made: 0,
             waiting_reads: WaitingReads::default(),
+            reported_health: None,
         }
     }
 
@@ -169,6 +172,22 @@
         self.store_contact.is_reachable(self.now())
     }
 
+    /// Returns whether this controller is healthy, and logs a change of the answer with its reasons.
+    pub(super) fn report_health(&mut self) -> bool {
+        let is_healthy = self.is_healthy();
+        if self.reported_health.replace(is_healthy) != Some(is_healthy) {
+            tracing::info!(
+                is_healthy,
+                replica_loaded = self.replica.initialized,
+                machine_types = self.machine_types.len(),
+                store_reachable = self.is_store_reachable(),
+                isolated = self.peer_health.is_isolated(self.now()),
+                "health changed"
+            );
+        }
+        is_healthy
+    }
+
     /// Reports whether the load balancer should send users to this controller.
     ///
     /// It should once this controller has read the store and the machine types. While the store does not answer, it still
--- a/src/controller/state/leadership.rs
+++ b/src/controller/state/leadership.rs
@@ -106,6 +106,14 @@
         self.leadership_status.back_off_campaigns(backoff, now);
     }
 
+    /// Returns the time since the oldest read that the replica has not caught up with was sent; zero if there is none.
+    pub(in crate::controller) fn replica_lag(&self) -> Duration {
+        let pending_since = self.leadership().oldest_pending_read();
+        pending_since.map_or(Duration::ZERO, |since| {
+            self.now().saturating_duration_since(since)
+        })
+    }
+
     /// Reports whether the replica still lacks the revision that a read sent longer ago than `tolerance` was answered with.
     pub(in crate::controller) fn replica_lags(&self, tolerance: Duration) -> bool {
         let sent_before = self.now().saturating_sub(tolerance);
--- a/src/controller/user_requests/mod.rs
+++ b/src/controller/user_requests/mod.rs
@@ -14,6 +14,7 @@
 use super::handles::Handles;
 use super::job_status::final_view;
 use super::messages::JobOutcome;
+use super::metrics::Admission;
 use super::state::ControllerState;
 use crate::protocol::Txn;
 use crate::store::{self, FinalRecord, StoreError, TxnOutcome, Versioned};
@@ -42,8 +43,12 @@
 
     /// Admits a read of the store on behalf of a user, or returns the outcome that tells the user when to repeat the request.
     fn admit_read(&self) -> Result<(), JobOutcome> {
-        self.update_state(ControllerState::take_user_read)
-            .map_err(JobOutcome::RetryAfter)
+        let admitted = self.update_state(ControllerState::take_user_read);
+        self.metrics.record_user_read(match admitted {
+            Ok(()) => Admission::Admitted,
+            Err(_) => Admission::Refused,
+        });
+        admitted.map_err(JobOutcome::RetryAfter)
     }
 
     /// Admits changes to the store on behalf of a user, or returns the outcome that tells the user when to repeat the request.
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -258,6 +258,15 @@
         }
     }
 
+    /// Returns when the oldest read whose revision the replica has not reached was sent, if there is one.
+    #[must_use]
+    pub fn oldest_pending_read(&self) -> Option<Timestamp> {
+        self.pending_reads
+            .iter()
+            .map(|read| read.requested_at)
+            .min()
+    }
+
     /// Reports whether the replica has not yet reached the revision of a read that was sent before `moment`. A read that stays
     /// pending for long indicates that the watch has stalled.
     #[must_use]
--- a/src/service.rs
+++ b/src/service.rs
@@ -3,6 +3,7 @@
 use crate::config::Settings;
 use crate::controller::Controller;
 use actix::{Actor, System};
+use prometheus_client::registry::Registry;
 
 /// Runs a controller until its process ends.
 ///
@@ -23,7 +24,9 @@
         internal: platform.internal_addr,
     };
     System::with_tokio_rt(|| runtime).block_on(async move {
-        let controller = Controller::new(settings).start();
-        crate::api::serve(controller, addresses, max_connections).await
+        let controller = Controller::new(settings);
+        let mut registry = Registry::with_prefix("hollowswitch");
+        controller.register_metrics(&mut registry);
+        crate::api::serve(controller.start(), registry, addresses, max_connections).await
     })
 }
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -1,11 +1,11 @@
 //! The client of the state service. Each method makes one call, or one per page, and does not retry.
 
-use super::keys::KeyFamily;
+use super::metrics::{RequestKind, StoreMetrics};
 use super::records::decode_record;
-use super::{Replica, ReplicaChange, Revision, Versioned, ROOT};
+use super::{Revision, Versioned, ROOT};
 use crate::clients::http::{exchange, ConnectionReuse, ExchangeError, HttpRequest, HttpResponse};
 use crate::protocol::{
-    decode, encode, KeyValue, LeaseReply, LeaseRequest, Page, Txn, TxnReply, WatchReply,
+    decode, encode, KeyValue, LeaseReply, LeaseRequest, Txn, TxnReply, WatchReply,
 };
 use crate::time::whole_millis;
 use awc::http::{Method, StatusCode};
@@ -15,10 +15,6 @@
 
 /// Timeout of calls, except for pages of keys and renewals of leases. A watch gets this time in addition to its waiting time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Timeout of reading a page of keys.
-const PAGE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Maximum number of keys on a page.
-const PAGE_SIZE: usize = 200;
 /// Maximum size of a response in bytes. A page of keys takes at most 512 KiB. Only the response to a watch has no bound: if it
 /// exceeds this limit, the keys are read page by page instead, which takes less memory.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -86,6 +82,7 @@
 pub struct StoreClient {
     http: awc::Client,
     base: String,
+    pub(super) metrics: StoreMetrics,
 }
 
 impl StoreClient {
@@ -95,16 +92,25 @@
         StoreClient {
             http,
             base: format!("http://{address}"),
+            metrics: StoreMetrics::default(),
         }
     }
 
+    /// Returns the metrics of this client and its clones.
+    #[must_use]
+    pub fn metrics(&self) -> &StoreMetrics {
+        &self.metrics
+    }
+
     /// Reads the record of a key, with its version.
     ///
     /// # Errors
     /// [`StoreError::NotFound`] if the key does not exist, another error if the service does not answer with a record of type
     /// `T`.
     pub async fn get<T: DeserializeOwned>(&self, key: &str) -> Result<Versioned<T>, StoreError> {
-        let item: KeyValue = self.read(&format!("/keys/{key}"), CALL_TIMEOUT).await?;
+        let item: KeyValue = self
+            .read(RequestKind::Get, &format!("/keys/{key}"), CALL_TIMEOUT)
+            .await?;
         let record = decode_record(&item.value).ok_or(MALFORMED)?;
         Ok(Versioned {
             record,
@@ -118,7 +124,14 @@
     /// [`StoreError::OutcomeUnknown`] if the transaction may have been executed or may yet be, another error if it was not
     /// executed.
     pub async fn txn(&self, txn: &Txn) -> Result<TxnOutcome, StoreError> {
-        let response = self.post("/multi", encode(txn), CALL_TIMEOUT).await?;
+        let response = self
+            .post(
+                RequestKind::Transaction,
+                "/multi",
+                encode(txn),
+                CALL_TIMEOUT,
+            )
+            .await?;
         let reply = decode::<TxnReply>(&response.body).ok();
         match (response.status, reply) {
             (StatusCode::OK, Some(reply)) => Ok(TxnOutcome::Applied(reply.revision)),
@@ -134,7 +147,9 @@
     /// # Errors
     /// Returns an error if the service does not answer.
     pub async fn barrier(&self, txn: &Txn) -> Result<Revision, StoreError> {
-        let response = self.post("/multi", encode(txn), CALL_TIMEOUT).await?;
+        let response = self
+            .post(RequestKind::Barrier, "/multi", encode(txn), CALL_TIMEOUT)
+            .await?;
         match (response.status, decode::<TxnReply>(&response.body).ok()) {
             (StatusCode::OK | StatusCode::CONFLICT, Some(reply)) => Ok(reply.revision),
             _ => Err(UnknownOutcome::error_for(&response)),
@@ -148,7 +163,9 @@
     pub async fn open_lease(&self, ttl: Duration) -> Result<u64, StoreError> {
         let ttl_ms = whole_millis(ttl);
         let body = encode(&LeaseRequest { ttl_ms });
-        let response = self.post("/holds", body, CALL_TIMEOUT).await?;
+        let response = self
+            .post(RequestKind::Lease, "/holds", body, CALL_TIMEOUT)
+            .await?;
         match (response.status, decode::<LeaseReply>(&response.body).ok()) {
             (StatusCode::OK, Some(reply)) => Ok(reply.lease),
             _ => Err(UnknownOutcome::error_for(&response)),
@@ -161,7 +178,9 @@
     /// [`StoreError::NotFound`] if the lease has ended, another error if the service does not answer within the timeout.
     pub async fn renew(&self, lease_id: u64, timeout: Duration) -> Result<(), StoreError> {
         let path = format!("/holds/{lease_id}/extend");
-        let response = self.post(&path, Vec::new(), timeout).await?;
+        let response = self
+            .post(RequestKind::Lease, &path, Vec::new(), timeout)
+            .await?;
         match response.status {
             StatusCode::OK => Ok(()),
             _ => Err(UnknownOutcome::error_for(&response)),
@@ -171,7 +190,8 @@
     /// Ends a lease, which deletes the keys attached to it. If the call fails, the lease expires later.
     pub async fn close_lease(&self, lease_id: u64) {
         let path = format!("/holds/{lease_id}");
-        let _ = self.call(Method::DELETE, &path, None, CALL_TIMEOUT).await;
+        let request = self.request(Method::DELETE, &path, None, CALL_TIMEOUT);
+        let _ = self.call(RequestKind::Lease, request).await;
     }
 
     /// Waits for changes after a revision, for at most `max_wait`, which is sent in whole milliseconds.
@@ -186,58 +206,19 @@
     ) -> Result<WatchReply, StoreError> {
         let max_wait_ms = whole_millis(max_wait);
         let path = format!("/watch?starts={ROOT}&after={after}&holdMs={max_wait_ms}");
-        self.read(&path, max_wait + CALL_TIMEOUT).await
-    }
-
-    /// Loads a replica, family by family and page by page. Final states are not loaded.
-    ///
-    /// # Errors
-    /// Returns an error if any page cannot be read.
-    pub async fn load(&self) -> Result<Replica, StoreError> {
-        let mut replica = Replica::default();
-        let mut first_revision = None;
-        for family in KeyFamily::REPLICATED {
-            let revision = self.load_family(&mut replica, family).await?;
-            first_revision.get_or_insert(revision);
-        }
-        // Starting the watch at the revision of the first page makes it deliver the changes that were made between the pages.
-        replica.revision = first_revision.unwrap_or_default();
-        replica.initialized = true;
-        Ok(replica)
-    }
-
-    /// Loads the keys of a family into a replica, and returns the revision of the first page.
-    async fn load_family(
-        &self,
-        replica: &mut Replica,
-        family: KeyFamily,
-    ) -> Result<Revision, StoreError> {
-        let prefix = family.prefix();
-        let mut after = String::new();
-        let mut first_revision = None;
-        loop {
-            let page = self.read_page(&prefix, &after).await?;
-            let revision = *first_revision.get_or_insert(page.revision);
-            apply_page(replica, &page);
-            match page.items.last() {
-                Some(last) if page.has_more => after.clone_from(&last.key),
-                _ => return Ok(revision),
-            }
-        }
-    }
-
-    /// Reads a page of the keys with a prefix, in key order, starting after the key `after`.
-    async fn read_page(&self, prefix: &str, after: &str) -> Result<Page, StoreError> {
-        let path = format!("/keys?starts={prefix}&after={after}&limit={PAGE_SIZE}");
-        self.read(&path, PAGE_TIMEOUT).await
+        self.read(RequestKind::Watch, &path, max_wait + CALL_TIMEOUT)
+            .await
     }
 
-    async fn read<T: DeserializeOwned>(
+    /// Reads a message with a GET request.
+    pub(super) async fn read<T: DeserializeOwned>(
         &self,
+        kind: RequestKind,
         path: &str,
         timeout: Duration,
     ) -> Result<T, StoreError> {
-        let response = self.call(Method::GET, path, None, timeout).await?;
+        let request = self.request(Method::GET, path, None, timeout);
+        let response = self.call(kind, request).await?;
         if response.status != StatusCode::OK {
             return Err(UnknownOutcome::error_for(&response));
         }
@@ -246,11 +227,13 @@
 
     async fn post(
         &self,
+        kind: RequestKind,
         path: &str,
         body: Vec<u8>,
         timeout: Duration,
     ) -> Result<HttpResponse, StoreError> {
-        let result = self.call(Method::POST, path, Some(body), timeout).await;
+        let request = self.request(Method::POST, path, Some(body), timeout);
+        let result = self.call(kind, request).await;
         result.map_err(|error| match error {
             // The request may have been executed, whatever the response contains.
             StoreError::ResponseTooLarge => MALFORMED,
@@ -258,40 +241,47 @@
         })
     }
 
-    async fn call(
+    fn request(
         &self,
         method: Method,
         path: &str,
         body: Option<Vec<u8>>,
         timeout: Duration,
-    ) -> Result<HttpResponse, StoreError> {
-        let request = HttpRequest {
+    ) -> HttpRequest {
+        HttpRequest {
             method,
             url: format!("{}{path}", self.base),
             body,
             timeout,
             max_response_bytes: MAX_RESPONSE_BYTES,
             connection: ConnectionReuse::Keep,
-        };
-        let response = exchange(&self.http, request)
+        }
+    }
+
+    /// Makes a call and counts it.
+    async fn call(
+        &self,
+        kind: RequestKind,
+        request: HttpRequest,
+    ) -> Result<HttpResponse, StoreError> {
+        let result = exchange(&self.http, request)
             .await
             .map_err(|error| match error {
                 ExchangeError::TooLarge => StoreError::ResponseTooLarge,
                 _ => StoreError::OutcomeUnknown(UnknownOutcome::NoResponse),
-            })?;
-        match response.status {
-            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited),
-            StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
-            StatusCode::NOT_FOUND | StatusCode::GONE => Err(StoreError::NotFound),
-            _ => Ok(response),
-        }
+            })
+            .and_then(accept_status);
+        self.metrics.record_request(kind, &result);
+        result
     }
 }
 
-/// Applies a page of keys to a replica that is being loaded. The changes are discarded, since the whole replica is new.
-fn apply_page(replica: &mut Replica, page: &Page) {
-    let mut changes: Vec<ReplicaChange> = Vec::new();
-    for item in &page.items {
-        replica.put(&item.key, &item.value, item.version, &mut changes);
+/// Maps the statuses that mean the same for all calls to their errors.
+fn accept_status(response: HttpResponse) -> Result<HttpResponse, StoreError> {
+    match response.status {
+        StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited),
+        StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable),
+        StatusCode::NOT_FOUND | StatusCode::GONE => Err(StoreError::NotFound),
+        _ => Ok(response),
     }
 }
