Failing test: a poll whose client disconnects keeps its slot for ever

A user's request takes a slot of the concurrency limit and gives it back after an await. The server drops the future of a request when its connection is reset, and the slot stays taken: 1 in use 4 s later, expected 0.

--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -15,9 +15,13 @@
 use actix_web::http::ConnectionType;
 use actix_web::test::{call_service, init_service, read_body, TestRequest};
 use actix_web::{web, App};
+use futures_util::FutureExt;
 use prometheus_client::registry::Registry;
 use std::time::{Duration, Instant};
 
+/// Bound on the duration of a poll: a linearizable read of 1.5 s, then a read of the store of 1.5 s, and a margin.
+const MAX_POLL_DURATION: Duration = Duration::from_secs(4);
+
 #[test]
 fn a_retry_later_response_has_a_retry_after_header_and_closes_the_connection() {
     let response = job_response(JobOutcome::RetryAfter(Duration::from_secs(7)));
@@ -163,3 +167,23 @@
     );
     assert_eq!(status_and_body(Audience::Public).await.0, 404);
 }
+
+#[actix_web::test]
+async fn a_poll_whose_client_disconnects_does_not_occupy_its_slot_for_ever() {
+    let controller = Controller::new(settings()).start();
+    let connections = Connections::new(8 * CONNECTIONS_PER_USER_REQUEST);
+    let state = web::Data::new(ApiState::new(controller, connections, Registry::default()));
+    let poll = || {
+        let request = TestRequest::default().to_http_request();
+        users::poll(
+            state.clone(),
+            request,
+            web::Path::from("wk-000412".to_string()),
+        )
+    };
+    // The server drops the future of a request when its connection is reset.
+    assert!(poll().now_or_never().is_none());
+    tokio::time::sleep(MAX_POLL_DURATION).await;
+    assert_eq!(state.with_concurrency_limit(|limit| limit.in_progress()), 0);
+    assert_ne!(poll().await.status().as_u16(), 429);
+}
