A user's request whose connection is reset no longer keeps its slot

Callers saw: on each controller that was affected every question was answered 429 until the process ended, while GET /up said 200, so that the load balancer went on sending users there. With all controllers affected no question was answered although all troubles were over.

Cause: the slot of the concurrency limit was given back by a call after an await. The server drops the future of a request when its connection is reset, as the load balancer does with the connections of a controller that has been unhealthy for 5 s. Class: a resource that is not given back on one path, here a cancelled future. Each reset loses every request in progress; once as many slots are lost as the limit has shrunk to, nothing is served, so the limit cannot grow again.

The regression test failed before with 1 slot in use instead of 0.

--- a/src/admission/concurrency_limit.rs
+++ b/src/admission/concurrency_limit.rs
@@ -9,6 +9,8 @@
 
 use crate::time::whole_millis;
 use hdrhistogram::Histogram;
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Number of served requests after which the limit is adjusted.
@@ -64,8 +66,14 @@
     NotServed,
 }
 
-/// An adaptive concurrency limit, with the number of requests in progress.
-pub struct ConcurrencyLimit {
+/// An adaptive concurrency limit, with the number of requests in progress. Clones share the limit.
+#[derive(Clone)]
+pub struct ConcurrencyLimit(Rc<RefCell<LimitState>>);
+
+/// The right of one request to be in progress. It ends when this value is dropped.
+pub struct Permit(ConcurrencyLimit);
+
+struct LimitState {
     limit: f64,
     max_limit: f64,
     in_progress: usize,
@@ -80,13 +88,49 @@
 impl ConcurrencyLimit {
     /// Creates a limit that starts at a quarter of its maximum, which is `max_limit` but at least 8.
     #[must_use]
-    #[expect(
-        clippy::missing_panics_doc,
-        reason = "the constant bounds of the histogram are valid"
-    )]
     pub fn new(max_limit: usize) -> ConcurrencyLimit {
+        ConcurrencyLimit(Rc::new(RefCell::new(LimitState::new(max_limit))))
+    }
+
+    /// Admits a request if the limit allows it.
+    #[must_use]
+    pub fn try_acquire(&self, kind: RequestKind) -> Option<Permit> {
+        let is_admitted = self.0.borrow_mut().try_acquire(kind);
+        is_admitted.then(|| Permit(self.clone()))
+    }
+
+    /// Returns the number of requests in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.0.borrow().in_progress
+    }
+
+    /// Returns the current limit on the number of requests in progress.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        round_down(self.0.borrow().limit)
+    }
+}
+
+impl Permit {
+    /// Ends the request and records its outcome, to which the limit adapts.
+    pub fn complete(self, completion: Completion) {
+        let limit = self.0.clone();
+        drop(self);
+        limit.0.borrow_mut().record(completion);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0 .0.borrow_mut().in_progress -= 1;
+    }
+}
+
+impl LimitState {
+    fn new(max_limit: usize) -> LimitState {
         let max_limit = max_limit.max(MIN_MAX_LIMIT) as f64;
-        ConcurrencyLimit {
+        LimitState {
             limit: max_limit * INITIAL_LIMIT_SHARE,
             max_limit,
             in_progress: 0,
@@ -97,9 +141,7 @@
         }
     }
 
-    /// Admits a request if the limit allows it. Every admitted request must be released.
-    #[must_use]
-    pub fn try_acquire(&mut self, kind: RequestKind) -> bool {
+    fn try_acquire(&mut self, kind: RequestKind) -> bool {
         let limit = match kind {
             RequestKind::Query => self.limit * QUERY_SHARE,
             RequestKind::Change => self.limit,
@@ -112,9 +154,8 @@
         true
     }
 
-    /// Releases an admitted request and records its latency if it was served.
-    pub fn release(&mut self, completion: Completion) {
-        self.in_progress = self.in_progress.saturating_sub(1);
+    /// Records the outcome of a request that has ended.
+    fn record(&mut self, completion: Completion) {
         let Completion::Served(latency) = completion else {
             return;
         };
@@ -134,24 +175,12 @@
         if median_ms > (SLOWDOWN_FACTOR * self.baseline_ms).max(TOLERABLE_LATENCY_MS) {
             let min_limit = (self.max_limit * MIN_LIMIT_SHARE).max(MIN_LIMIT);
             self.limit = (self.limit * DECREASE_FACTOR).max(min_limit);
-        } else if self.peak_in_progress * 2 >= self.limit() {
+        } else if self.peak_in_progress * 2 >= round_down(self.limit) {
             self.limit = (self.limit * INCREASE_FACTOR).min(self.max_limit);
         }
         self.latencies.reset();
         self.peak_in_progress = self.in_progress;
     }
-
-    /// Returns the number of requests in progress.
-    #[must_use]
-    pub fn in_progress(&self) -> usize {
-        self.in_progress
-    }
-
-    /// Returns the current limit on the number of requests in progress.
-    #[must_use]
-    pub fn limit(&self) -> usize {
-        round_down(self.limit)
-    }
 }
 
 /// Converts a limit to a number of requests, rounded down.
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -28,7 +28,6 @@
 use metrics::ApiMetrics;
 use prometheus_client::registry::Registry;
 use status::StatusGauges;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 
 /// Number of connections per user request in progress. The connection limit divided by this is the maximum of the concurrency
@@ -50,7 +49,7 @@
 /// State shared by all handlers.
 struct ApiState {
     controller: Addr<Controller>,
-    concurrency_limit: RefCell<ConcurrencyLimit>,
+    concurrency_limit: ConcurrencyLimit,
     connections: Connections,
     metrics: ApiMetrics,
     status_gauges: StatusGauges,
@@ -66,18 +65,13 @@
         let max_user_requests = connections.limit() / CONNECTIONS_PER_USER_REQUEST;
         ApiState {
             controller,
-            concurrency_limit: RefCell::new(ConcurrencyLimit::new(max_user_requests)),
+            concurrency_limit: ConcurrencyLimit::new(max_user_requests),
             connections,
             metrics,
             status_gauges,
             registry,
         }
     }
-
-    /// Runs a closure with the concurrency limit. The closure is synchronous, so no borrow is held across an `await`.
-    fn with_concurrency_limit<T>(&self, access: impl FnOnce(&mut ConcurrencyLimit) -> T) -> T {
-        access(&mut self.concurrency_limit.borrow_mut())
-    }
 }
 
 /// The clients that an application serves.
--- a/src/api/status/mod.rs
+++ b/src/api/status/mod.rs
@@ -30,15 +30,13 @@
 /// Returns the status, or `None` if the controller has stopped.
 async fn read_status(state: &ApiState) -> Option<Status> {
     let controller = state.controller.send(GetStatus).await.ok()?;
-    let (requests_in_progress, concurrency_limit) =
-        state.with_concurrency_limit(|limit| (limit.in_progress(), limit.limit()));
     Some(Status {
         controller,
         activity: state.connections.activity().counts(Instant::now()),
         open_connections: state.connections.open_count(),
         longest_connection_wait: state.connections.take_longest_wait(),
-        requests_in_progress,
-        concurrency_limit,
+        requests_in_progress: state.concurrency_limit.in_progress(),
+        concurrency_limit: state.concurrency_limit.limit(),
     })
 }
 
--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -4,7 +4,7 @@
 use super::users::{self, job_response};
 use super::workers::heartbeat_response;
 use super::{configure_routes, ApiState, Audience, CONNECTIONS_PER_USER_REQUEST};
-use crate::admission::concurrency_limit::RequestKind;
+use crate::admission::concurrency_limit::{Permit, RequestKind};
 use crate::config::tests::settings;
 use crate::controller::{
     Controller, HeartbeatOutcome, HeartbeatResponse, JobOutcome, JobRejection,
@@ -130,10 +130,11 @@
     let controller = Controller::new(settings()).start();
     let connections = Connections::new(8 * CONNECTIONS_PER_USER_REQUEST);
     let state = web::Data::new(ApiState::new(controller, connections, Registry::default()));
-    while state.with_concurrency_limit(|limit| limit.try_acquire(RequestKind::Change)) {}
+    let acquire = || state.concurrency_limit.try_acquire(RequestKind::Change);
+    let _permits: Vec<Permit> = std::iter::from_fn(acquire).collect();
     let request = TestRequest::default().to_http_request();
     let id = web::Path::from("wk-000412".to_string());
-    let response = users::poll(state, request, id).await;
+    let response = users::poll(state.clone(), request, id).await;
     let retry_after = response.headers().get("retry-after").unwrap();
     assert_eq!(
         (response.status().as_u16(), retry_after.to_str().unwrap()),
@@ -184,6 +185,6 @@
     // The server drops the future of a request when its connection is reset.
     assert!(poll().now_or_never().is_none());
     tokio::time::sleep(MAX_POLL_DURATION).await;
-    assert_eq!(state.with_concurrency_limit(|limit| limit.in_progress()), 0);
+    assert_eq!(state.concurrency_limit.in_progress(), 0);
     assert_ne!(poll().await.status().as_u16(), 429);
 }
