Permits of adoptions and direct commands end by Drop

Both counters were decremented after an await in spawned tasks that nothing cancels, so neither leaked; they are semaphores now, whose permits cannot be forgotten. No behaviour changes: the same limits, taken before the task begins.

--- a/src/controller/cloud/adoption.rs
+++ b/src/controller/cloud/adoption.rs
@@ -5,30 +5,15 @@
 use crate::coordination::leadership::Term;
 use crate::scheduler::{first_token, DirectCommands};
 use crate::store::{self, guard, RentalRecord, Revision, TxnOutcome};
-use std::cell::Cell;
-use std::rc::Rc;
+use std::sync::Arc;
+use tokio::sync::Semaphore;
 
 /// Maximum number of concurrent adoptions.
 const CONCURRENT_ADOPTIONS: usize = 16;
 
-/// Counter that limits the number of concurrent adoptions.
-#[derive(Debug, Clone, Default)]
-pub(super) struct AdoptionPermits {
-    used: Rc<Cell<usize>>,
-}
-
-impl AdoptionPermits {
-    fn free(&self) -> usize {
-        CONCURRENT_ADOPTIONS.saturating_sub(self.used.get())
-    }
-
-    fn acquire(&self) {
-        self.used.set(self.used.get() + 1);
-    }
-
-    fn release(&self) {
-        self.used.set(self.used.get() - 1);
-    }
+/// Creates the semaphore that limits the number of concurrent adoptions.
+pub(super) fn adoption_permits() -> Arc<Semaphore> {
+    Arc::new(Semaphore::new(CONCURRENT_ADOPTIONS))
 }
 
 impl Handles {
@@ -36,17 +21,16 @@
     ///
     /// They run concurrently with the other calls. Late copies of heartbeats from machines that an earlier leader has released
     /// name workers that never answer; probing those in sequence would delay every release and rental.
-    pub(super) fn adopt_unregistered(&self, permits: &AdoptionPermits) {
-        for _ in 0..permits.free() {
+    pub(super) fn adopt_unregistered(&self, permits: &Arc<Semaphore>) {
+        while let Ok(permit) = permits.clone().try_acquire_owned() {
             let next = self.update_state(ControllerState::pop_unregistered_machine);
             let Some((name, machine)) = next else {
                 return;
             };
-            let (handles, permits) = (self.clone(), permits.clone());
-            permits.acquire();
+            let handles = self.clone();
             actix::spawn(async move {
                 handles.adopt(&name, machine).await;
-                permits.release();
+                drop(permit);
             });
         }
     }
--- a/src/controller/cloud/mod.rs
+++ b/src/controller/cloud/mod.rs
@@ -15,7 +15,7 @@
 mod releases;
 mod rentals;
 
-use self::adoption::AdoptionPermits;
+use self::adoption::adoption_permits;
 use self::machine_list::MachineListing;
 use self::machine_types::MachineTypeRefresh;
 use super::handles::Handles;
@@ -57,7 +57,7 @@
     pub(super) async fn run_cloud_loop(self) {
         let mut machine_types = MachineTypeRefresh::default();
         let mut listing = self.read_state(|state| MachineListing::new(state.settings()));
-        let adoption_permits = AdoptionPermits::default();
+        let adoption_permits = adoption_permits();
         let mut rented = false;
         loop {
             // After a rental, the next one is decided without delay: only the cloud's request rate limits it.
--- a/src/controller/scheduling_loop.rs
+++ b/src/controller/scheduling_loop.rs
@@ -6,9 +6,9 @@
 use crate::clients::worker::{self, CommandError, WorkerAddress};
 use crate::protocol::WorkerStatus;
 use crate::scheduler::DirectCommands;
-use std::cell::Cell;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Instant;
+use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 
 impl Handles {
@@ -19,11 +19,11 @@
             let limits = &state.settings().platform.deployment.machine_limits;
             (limits.max_connections / 16).clamp(8, 64)
         });
-        let in_flight = Rc::new(Cell::new(0usize));
+        let permits = Arc::new(Semaphore::new(max_messages));
         loop {
             self.wait_for_round().await;
             let limits = SendLimits {
-                messages: max_messages.saturating_sub(in_flight.get()),
+                messages: permits.available_permits(),
                 probes: max_messages / 4,
             };
             match self.update_state(|state| state.run_scheduling_round(limits)) {
@@ -35,7 +35,7 @@
                 RoundOutcome::Send(messages) => {
                     self.start_log_requested.notify_one();
                     for message in messages {
-                        self.spawn_send(message, in_flight.clone());
+                        self.spawn_send(message, &permits);
                     }
                 }
             }
@@ -68,10 +68,11 @@
     }
 
     /// Spawns the sending of a message to a worker and the handling of the response, so that the loop does not wait for it.
-    fn spawn_send(&self, message: DirectCommands, in_flight: Rc<Cell<usize>>) {
+    fn spawn_send(&self, message: DirectCommands, permits: &Arc<Semaphore>) {
         let handles = self.clone();
         let term = self.read_state(ControllerState::term);
-        in_flight.set(in_flight.get() + 1);
+        // The round sends no more messages than there are permits.
+        let permit = permits.clone().try_acquire_owned();
         actix::spawn(async move {
             let authorized = || handles.read_state(|state| state.may_send_direct(term, &message));
             let response = while_authorized(authorized, handles.send_directly(&message)).await;
@@ -79,7 +80,7 @@
                 handles.metrics.record_withheld_commands();
             }
             let response = response.and_then(Result::ok);
-            in_flight.set(in_flight.get() - 1);
+            drop(permit);
             handles.update_state(|state| {
                 state.handle_direct_response(term, &message, response.as_ref());
             });
