Bound on a user's request: above the longest wait that the settings allow

A cancellation may wait for one leader lease, which operators may set to 60 s; the bound of a minute would have given such a request up.

--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -13,8 +13,8 @@
 
 /// Time after which a user may repeat a request that the concurrency limit refused.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Bound on the duration of a user's request. It is above the sum of the timeouts of every request.
-const MAX_REQUEST_DURATION: Duration = Duration::from_mins(1);
+/// Bound on the duration of a user's request, above the sum of its timeouts for every leader lease that the settings allow.
+const MAX_REQUEST_DURATION: Duration = Duration::from_mins(2);
 
 /// `POST /v1/jobs`: submits a job.
 pub(super) async fn submit(
