Soak test on real processes, with stand-ins shared with the load driver

Three controllers run as processes; state service, cloud, workers and users are stand-ins on loopback, which moved from benches/load to tests/harness and grew: leases that expire, compare-and- swap, watches with a bounded history (410) that stay silent after a refusal, rate limits answered with 429, a load balancer that resets the connections of unhealthy controllers, workers with leases, sessions and tokens, proxies on every link. One seed fixes the schedule: kills, pauses, links that hold, refuse or delay, one way too, outages and refusals, lost, late and repeated transactions, late reports and commands, machines that hang, die or are cut off, users who hang up and ask again.

What workers and users observe is checked; a self-test shows for each rule that it fails on a history that breaks it.

The load driver can kill all controllers (--kills) and reports the longest time without an answer.

--- a/benches/load/args.rs
+++ b/benches/load/args.rs
@@ -1,6 +1,7 @@
 //! Command-line options.
 
 use clap::Parser;
+use std::path::PathBuf;
 
 /// Measures the resource usage of controllers under a simulated load.
 #[derive(Parser)]
@@ -32,9 +33,21 @@
     /// Duration of the measurement, in seconds.
     #[arg(long, default_value_t = 30.0)]
     pub measured_s: f64,
+    /// How often all controllers are killed after the measurement, and started again 4 s later.
+    #[arg(long, default_value_t = 0)]
+    pub kills: u32,
+    /// Time after each restart before the next kill or the end, in seconds.
+    #[arg(long, default_value_t = 60.0)]
+    pub recovery_s: f64,
+    /// Maximum number of connections of a controller. The default suffices for twice the number of workers.
+    #[arg(long)]
+    pub max_connections: Option<usize>,
+    /// Directory for the logs of the controllers, at level info. Without one, errors go to standard error.
+    #[arg(long)]
+    pub logs: Option<PathBuf>,
     /// Path of the controller program to measure.
     #[arg(long, default_value = env!("CARGO_BIN_EXE_hollowswitch"))]
-    pub program: String,
+    pub program: PathBuf,
     /// Passed by `cargo bench`. Has no effect.
     #[arg(long)]
     bench: bool,
--- a/benches/load/users.rs
+++ b/benches/load/users.rs
@@ -1,19 +1,22 @@
 //! Simulated users, who submit services at the start and job arrays at a constant rate, and poll each job until it is done.
 
-use crate::http;
-use hollowswitch::protocol::{decode, encode, JobKind, JobSpec, JobState, JobView, Priority};
+use crate::harness::history::Answer;
+use crate::harness::jobs::{JobDescription, JobRegistry};
+use crate::harness::topology::{ControllerId, CONTROLLER_COUNT};
+use crate::harness::user::User;
+use hollowswitch::protocol::{JobKind, JobSpec, JobState, Priority};
 use std::cell::RefCell;
-use std::net::SocketAddr;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::time::{sleep, Instant};
 
+/// Name of the only team.
+pub(crate) const TEAM: &str = "team";
 /// Interval between two polls of a job.
 const POLL_INTERVAL: Duration = Duration::from_secs(5);
-/// Delay before a failed request is repeated.
+/// Delay before a failed request is repeated, at another controller.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Timeout of a request.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Number of tasks of a service.
 const REPLICAS: u32 = 4;
@@ -22,8 +25,10 @@
 
 /// The jobs that users submit.
 pub(crate) struct Workload {
-    /// Addresses of the controllers.
-    pub controllers: Vec<SocketAddr>,
+    /// Sends the requests.
+    pub user: User,
+    /// Keeps the descriptions of the jobs for the workers.
+    pub registry: JobRegistry,
     /// Number of services submitted at the start.
     pub services: usize,
     /// Number of job arrays submitted per second.
@@ -32,6 +37,8 @@
     pub tasks_per_array: u32,
     /// Number of CPUs per task.
     pub cpus_per_task: f64,
+    /// Run time of a task of an array.
+    pub task_run_time: Duration,
 }
 
 /// Counts of the outcomes of requests.
@@ -43,6 +50,31 @@
     pub done: u64,
     /// Requests without a response, or with an unexpected status.
     pub failed: u64,
+    /// The longest time that has ended for which the questions about a job got no answer.
+    longest_silence: Duration,
+    /// When the last answer about each unfinished job arrived.
+    answered_at: HashMap<String, Instant>,
+}
+
+impl RequestCounts {
+    /// Returns the longest time for which the questions about a job got no answer.
+    pub(crate) fn longest_silence(&self) -> Duration {
+        let silences = self.answered_at.values().map(Instant::elapsed);
+        silences.fold(self.longest_silence, Duration::max)
+    }
+
+    /// Records an answer about a job.
+    fn record_answer(&mut self, job: &str) {
+        if let Some(last) = self.answered_at.insert(job.to_string(), Instant::now()) {
+            self.longest_silence = self.longest_silence.max(last.elapsed());
+        }
+    }
+
+    /// Records that a job is done.
+    fn record_done(&mut self, job: &str) {
+        self.done += 1;
+        self.answered_at.remove(job);
+    }
 }
 
 impl Workload {
@@ -63,7 +95,7 @@
         JobSpec {
             id: format!("wk-{number:06}"),
             class: "array".into(),
-            team: "team".into(),
+            team: TEAM.into(),
             kind: JobKind::Array,
             priority: Priority::Normal,
             tasks: self.tasks_per_array,
@@ -84,78 +116,57 @@
         }
     }
 
-    /// Returns the address of the controller that a user sends its requests to.
-    fn controller_address(&self, number: usize) -> SocketAddr {
-        self.controllers[number % self.controllers.len()]
-    }
-}
-
-/// Sends a request over a new connection. Returns the status and the body of the response.
-async fn send_request(
-    to: SocketAddr,
-    method: &str,
-    path: &str,
-    body: &[u8],
-) -> Option<(u16, Vec<u8>)> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(to).await.ok()?;
-        http::write_request(&mut stream, method, path, to, body).await?;
-        http::read_message(&mut stream).await
-    };
-    let (head, body) = tokio::time::timeout(REQUEST_TIMEOUT, exchange)
-        .await
-        .ok()??;
-    Some((http::status_code(&head)?, body))
-}
-
-/// Simulates a user, who submits a job and polls it until it is done.
-async fn submit_and_poll(to: SocketAddr, job: JobSpec, counts: Rc<RefCell<RequestCounts>>) {
-    submit(to, &job, &counts).await;
-    counts.borrow_mut().accepted += 1;
-    poll_until_done(to, &job.id, &counts).await;
-    counts.borrow_mut().done += 1;
-}
-
-/// Submits a job, repeatedly until it is accepted.
-async fn submit(to: SocketAddr, job: &JobSpec, counts: &RefCell<RequestCounts>) {
-    loop {
-        let response = send_request(to, "POST", "/v1/jobs", &encode(job)).await;
-        if matches!(response, Some((200 | 201, _))) {
-            return;
+    /// Submits a job and polls it until it is done.
+    async fn run_job(self: Rc<Self>, number: usize, job: JobSpec, counts: Counts) {
+        self.registry.upload(JobDescription {
+            spec: job.clone(),
+            run_time: self.task_run_time,
+        });
+        let mut controller = ControllerId(number % CONTROLLER_COUNT);
+        while !matches!(self.user.submit(controller, &job).await, Answer::State(_)) {
+            counts.borrow_mut().failed += 1;
+            controller = next(controller);
+            sleep(RETRY_DELAY).await;
         }
-        counts.borrow_mut().failed += 1;
-        tokio::time::sleep(RETRY_DELAY).await;
+        counts.borrow_mut().accepted += 1;
+        self.poll_until_done(controller, &job.id, &counts).await;
+        counts.borrow_mut().record_done(&job.id);
     }
-}
 
-/// Polls a job until it is done.
-async fn poll_until_done(to: SocketAddr, id: &str, counts: &RefCell<RequestCounts>) {
-    let path = format!("/v1/jobs/{id}");
-    loop {
-        tokio::time::sleep(POLL_INTERVAL).await;
-        match send_request(to, "GET", &path, &[]).await {
-            Some((200, body)) if is_done(&body) => return,
-            Some((200, _)) => {}
-            _ => counts.borrow_mut().failed += 1,
+    async fn poll_until_done(&self, first: ControllerId, id: &str, counts: &Counts) {
+        let mut controller = first;
+        counts.borrow_mut().record_answer(id);
+        loop {
+            sleep(POLL_INTERVAL).await;
+            match self.user.poll(controller, id).await {
+                Answer::State(JobState::Done) => return,
+                Answer::State(_) => counts.borrow_mut().record_answer(id),
+                _ => {
+                    counts.borrow_mut().failed += 1;
+                    controller = next(controller);
+                }
+            }
         }
     }
 }
 
-fn is_done(body: &[u8]) -> bool {
-    decode::<JobView>(body).is_ok_and(|view| view.state == JobState::Done)
+type Counts = Rc<RefCell<RequestCounts>>;
+
+fn next(controller: ControllerId) -> ControllerId {
+    ControllerId((controller.0 + 1) % CONTROLLER_COUNT)
 }
 
 /// Runs the users: submits all services first, then job arrays at a constant rate. Does not return.
-pub(crate) async fn run(workload: Workload, counts: Rc<RefCell<RequestCounts>>) {
-    let start_user = |number, job| {
-        let to = workload.controller_address(number);
-        actix_web::rt::spawn(submit_and_poll(to, job, counts.clone()));
+pub(crate) async fn run(workload: Workload, counts: Counts) {
+    let workload = Rc::new(workload);
+    let start_job = |number, job| {
+        actix_web::rt::spawn(workload.clone().run_job(number, job, counts.clone()));
     };
     for number in 0..workload.services {
-        start_user(number, workload.service(number));
+        start_job(number, workload.service(number));
     }
     for number in workload.services.. {
-        tokio::time::sleep(Duration::from_secs_f64(1.0 / workload.arrays_per_s)).await;
-        start_user(number, workload.array(number));
+        sleep(Duration::from_secs_f64(1.0 / workload.arrays_per_s)).await;
+        start_job(number, workload.array(number));
     }
 }
--- a/benches/load/http.rs
+++ b/tests/harness/http.rs
@@ -8,6 +8,15 @@
 /// Maximum size of the head and of the body of a message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
+/// Returns the bytes of a request.
+pub(crate) fn request_bytes(method: &str, path: &str, to: SocketAddr, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/cbor\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
 /// Writes a request.
 pub(crate) async fn write_request(
     stream: &mut TcpStream,
@@ -16,11 +25,7 @@
     to: SocketAddr,
     body: &[u8],
 ) -> Option<()> {
-    let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/cbor\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    let message = [head.as_bytes(), body].concat();
+    let message = request_bytes(method, path, to, body);
     stream.write_all(&message).await.ok()
 }
 
--- /dev/null
+++ b/tests/soak/options.rs
@@ -0,0 +1,49 @@
+//! Options of a run, from environment variables where given.
+
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Options of a run.
+#[derive(Debug, Clone)]
+pub(crate) struct Options {
+    /// Fixes the schedule of the troubles.
+    pub(crate) seed: u64,
+    /// Number of machines that the cloud can rent out.
+    pub(crate) workers: usize,
+    /// For how long there are troubles.
+    pub(crate) troubles: Duration,
+    /// The program of the controllers.
+    pub(crate) program: PathBuf,
+}
+
+impl Options {
+    /// Returns the options for a seed.
+    pub(crate) fn for_seed(seed: u64) -> Options {
+        let program = std::env::var("SOAK_PROGRAM");
+        Options {
+            seed,
+            workers: variable("SOAK_WORKERS").unwrap_or(24),
+            troubles: Duration::from_secs(variable("SOAK_TROUBLES_S").unwrap_or(15)),
+            program: program
+                .unwrap_or_else(|_| env!("CARGO_BIN_EXE_hollowswitch").to_string())
+                .into(),
+        }
+    }
+
+    /// Returns the command that plays this run again.
+    pub(crate) fn command(&self) -> String {
+        format!(
+            "SOAK_FROM={} SOAK_SEEDS=1 SOAK_WORKERS={} SOAK_TROUBLES_S={} \
+             cargo test --release --test soak -- --ignored --nocapture many_seeds",
+            self.seed,
+            self.workers,
+            self.troubles.as_secs()
+        )
+    }
+}
+
+/// Returns the value of an environment variable, if it is set and valid.
+pub(crate) fn variable<T: FromStr>(name: &str) -> Option<T> {
+    std::env::var(name).ok()?.parse().ok()
+}
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,351 @@
+//! One run: starts everything, troubles it, waits until it has settled, and checks the history.
+
+use crate::harness::balancer::Balancer;
+use crate::harness::cloud::{CloudSettings, SimulatedCloud};
+use crate::harness::history::{Observation, Recorder};
+use crate::harness::jobs::JobRegistry;
+use crate::harness::network::Network;
+use crate::harness::process::{ControllerProcess, Launch};
+use crate::harness::settings::{
+    settings_file, CloudLimits, Deployment, MachineLimits, Routing, StoreLimits, Team,
+    WorkerTimings,
+};
+use crate::harness::store::{Limits, SimulatedStore};
+use crate::harness::topology::{ControllerId, ReservedNetwork, Topology};
+use crate::harness::user::User;
+use crate::harness::worker::WorkerSettings;
+use crate::invariants::{check, Bounds, TeamLimit, Violation};
+use crate::options::Options;
+use crate::schedule::Schedule;
+use crate::troubles::Surroundings;
+use crate::workload::{Settled, Workload, TEAMS};
+use hollowswitch::protocol::MachineType;
+use std::cell::RefCell;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Names of the zones.
+pub(crate) const ZONES: [&str; 2] = ["a", "b"];
+
+/// Timings of the workers, in seconds.
+const TIMINGS: WorkerTimings = WorkerTimings {
+    report_s: 1.0,
+    lease_s: 6.0,
+    cancel_s: 22.0,
+};
+/// Limits of the state service.
+const STORE_LIMITS: StoreLimits = StoreLimits {
+    rps: 200.0,
+    write_rps: 60.0,
+    value_kb: 32.0,
+    txn_ops: 16,
+};
+/// Number of changes that watches can catch up with. It is small, so that replicas have to be loaded again.
+const HISTORY: usize = 400;
+/// Limits of the cloud.
+const CLOUD_LIMITS: CloudLimits = CloudLimits {
+    rps: 10.0,
+    list_lag_s: 1.0,
+};
+/// Time from the rental of a machine until its worker runs.
+const BOOT_TIME: Duration = Duration::from_millis(400);
+/// Time that the fetch of an image takes.
+const FETCH_TIME: Duration = Duration::from_millis(100);
+/// Number of connections of a controller besides those of its workers.
+const OTHER_CONNECTIONS: usize = 150;
+/// Time allowed for the first healthy controller.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time without troubles at the beginning, in which the first jobs start.
+const QUIET_START: Duration = Duration::from_secs(3);
+/// Interval of checks whether a controller has ended by itself.
+const PROCESS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after the last trouble within which every accepted job has to be answered.
+const ANSWER_BOUND: Duration = Duration::from_secs(75);
+/// Time after the last trouble within which every accepted job has to begin while there is room.
+const START_BOUND: Duration = Duration::from_secs(90);
+
+/// The controllers of a run. Clones share the processes.
+#[derive(Clone)]
+pub(crate) struct Controllers {
+    slots: Rc<RefCell<Vec<Slot>>>,
+    recorder: Recorder,
+}
+
+struct Slot {
+    launch: Launch,
+    /// The process, unless it was killed.
+    process: Option<ControllerProcess>,
+}
+
+impl Controllers {
+    fn start(launches: Vec<Launch>, recorder: &Recorder) -> std::io::Result<Controllers> {
+        let start = |launch: Launch| {
+            let process = ControllerProcess::start(&launch)?;
+            Ok(Slot {
+                launch,
+                process: Some(process),
+            })
+        };
+        let slots: std::io::Result<Vec<Slot>> = launches.into_iter().map(start).collect();
+        Ok(Controllers {
+            slots: Rc::new(RefCell::new(slots?)),
+            recorder: recorder.clone(),
+        })
+    }
+
+    /// Kills a controller.
+    pub(crate) fn kill(&self, controller: ControllerId) {
+        self.slots.borrow_mut()[controller.0].process = None;
+    }
+
+    /// Starts a controller that was killed.
+    pub(crate) fn start_if_killed(&self, controller: ControllerId) {
+        let slot = &mut self.slots.borrow_mut()[controller.0];
+        if slot.process.is_none() {
+            slot.process = ControllerProcess::start(&slot.launch).ok();
+        }
+    }
+
+    /// Does something with a process that runs.
+    pub(crate) fn with_process(
+        &self,
+        controller: ControllerId,
+        action: impl FnOnce(&ControllerProcess),
+    ) {
+        if let Some(process) = &self.slots.borrow()[controller.0].process {
+            action(process);
+        }
+    }
+
+    /// Waits until every controller that was killed has been started again.
+    pub(crate) async fn wait_until_all_run(&self) {
+        while self
+            .slots
+            .borrow()
+            .iter()
+            .any(|slot| slot.process.is_none())
+        {
+            sleep(PROCESS_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Records controllers that end by themselves, and starts them again. Does not return.
+    async fn watch(self) {
+        loop {
+            sleep(PROCESS_CHECK_INTERVAL).await;
+            for controller in ControllerId::all() {
+                let slot = &mut self.slots.borrow_mut()[controller.0];
+                let process = slot.process.as_mut();
+                if let Some(status) = process.and_then(ControllerProcess::exit_status) {
+                    self.recorder.record(Observation::ProcessEnded {
+                        controller,
+                        status: status.to_string(),
+                    });
+                    slot.process = ControllerProcess::start(&slot.launch).ok();
+                }
+            }
+        }
+    }
+}
+
+/// The result of a run.
+pub(crate) struct Report {
+    /// The options of the run.
+    pub(crate) options: Options,
+    /// The schedule of its troubles.
+    pub(crate) schedule: Schedule,
+    /// The directory with the logs of the controllers.
+    pub(crate) logs: PathBuf,
+    /// The rules that were broken.
+    pub(crate) violations: Vec<Violation>,
+    /// Numbers of observations, to show that the run tested something.
+    pub(crate) summary: String,
+}
+
+impl Report {
+    /// Returns what is needed to see a failure again.
+    pub(crate) fn description(&self) -> String {
+        let violations: Vec<String> = self.violations.iter().map(ToString::to_string).collect();
+        format!(
+            "seed {}: {} rules broken; {}\n{}\nagain: {}\nlogs: {}\nschedule:\n{}",
+            self.options.seed,
+            self.violations.len(),
+            self.summary,
+            violations.join("\n"),
+            self.options.command(),
+            self.logs.display(),
+            self.schedule
+        )
+    }
+}
+
+/// Plays a run.
+pub(crate) fn play(options: Options) -> std::io::Result<Report> {
+    actix_web::rt::System::new().block_on(play_async(options))
+}
+
+async fn play_async(options: Options) -> std::io::Result<Report> {
+    let network = ReservedNetwork::reserve(std::process::id() as usize);
+    let topology = network.topology.clone();
+    let logs = log_directory(options.seed)?;
+    let recorder = Recorder::new();
+    let surroundings = start(&options, &topology, &logs, &recorder).await?;
+    let workload = surroundings.workload.clone();
+    workload.wait_for_healthy_controller(START_TIMEOUT).await;
+    workload.start_users();
+    sleep(QUIET_START).await;
+    let schedule = Schedule::draw(options.seed, options.troubles);
+    surroundings.trouble(&schedule).await;
+    recorder.record(Observation::TroublesOver);
+    workload.stop_submitting();
+    // Without a result, the history shows what has not settled.
+    let _settled: Result<Settled, _> = timeout(START_BOUND, workload.settle()).await;
+    recorder.record(Observation::RunOver);
+    let history = recorder.history();
+    let violations = check(&history, &workload.registry(), &bounds(&options));
+    let summary = workload.summary(&history);
+    Ok(Report {
+        options,
+        schedule,
+        logs,
+        violations,
+        summary,
+    })
+}
+
+/// Starts the services, the controllers and the users' balancer.
+async fn start(
+    options: &Options,
+    topology: &Topology,
+    logs: &Path,
+    recorder: &Recorder,
+) -> std::io::Result<Surroundings> {
+    let registry = JobRegistry::default();
+    let store = SimulatedStore::new(Limits {
+        rps: STORE_LIMITS.rps,
+        write_rps: STORE_LIMITS.write_rps,
+        history: HISTORY,
+    });
+    store.start(topology)?;
+    let workers = WorkerSettings {
+        controllers: ControllerId::all()
+            .map(|controller| topology.api_address(controller))
+            .collect(),
+        heartbeat_interval: Duration::from_secs_f64(TIMINGS.report_s),
+        lease: Duration::from_secs_f64(TIMINGS.lease_s),
+        fetch_time: FETCH_TIME,
+        registry: registry.clone(),
+        recorder: recorder.clone(),
+    };
+    let cloud = SimulatedCloud::new(cloud_settings(options), workers, topology);
+    cloud.start()?;
+    let network = Network::start(topology).await?;
+    let launches = launches(options, topology, logs)?;
+    let controllers = Controllers::start(launches, recorder)?;
+    actix_web::rt::spawn(controllers.clone().watch());
+    let balancer = Balancer::new();
+    let user = User::new(topology, recorder);
+    actix_web::rt::spawn(balancer.clone().run(user.clone()));
+    let workload = Workload::new(options, user.behind(&balancer), balancer, registry);
+    Ok(Surroundings {
+        controllers,
+        network,
+        store,
+        cloud,
+        workload,
+    })
+}
+
+fn cloud_settings(options: &Options) -> CloudSettings {
+    let machine_type = |name: &str, cpus: f64, price: f64| MachineType {
+        name: name.into(),
+        cpus,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price: price / 2.0,
+        boot_s: BOOT_TIME.as_secs_f64(),
+        zones: ZONES.iter().map(ToString::to_string).collect(),
+    };
+    CloudSettings {
+        machine_types: vec![
+            machine_type("small", 4.0, 1.0),
+            machine_type("large", 8.0, 2.0),
+        ],
+        capacity: options.workers,
+        boot_time: BOOT_TIME,
+        list_lag: Duration::from_secs_f64(CLOUD_LIMITS.list_lag_s),
+        rps: CLOUD_LIMITS.rps,
+    }
+}
+
+fn deployment(options: &Options) -> Deployment {
+    let team = |(name, cpus_per_worker): &(&str, f64)| Team {
+        name: (*name).into(),
+        cpus: 0.0,
+        cpus_max: cpus_per_worker * options.workers as f64,
+    };
+    Deployment {
+        teams: TEAMS.iter().map(team).collect(),
+        workers: TIMINGS,
+        state: STORE_LIMITS,
+        cloud: CLOUD_LIMITS,
+        machine_limits: MachineLimits {
+            max_connections: 2 * options.workers + OTHER_CONNECTIONS,
+        },
+    }
+}
+
+/// Returns how the controllers are started. Their settings are written next to their logs.
+fn launches(options: &Options, topology: &Topology, logs: &Path) -> std::io::Result<Vec<Launch>> {
+    let deployment = deployment(options);
+    let launch = |controller: ControllerId| {
+        let name = controller.name();
+        let settings = logs.join(format!("{name}.toml"));
+        let zone = ZONES[controller.0 % ZONES.len()];
+        let content = settings_file(
+            controller,
+            zone,
+            topology,
+            Routing::ThroughLinks,
+            &deployment,
+        );
+        std::fs::write(&settings, content)?;
+        Ok(Launch {
+            log: Some(logs.join(format!("{name}.log"))),
+            name,
+            program: options.program.clone(),
+            settings,
+        })
+    };
+    ControllerId::all().map(launch).collect()
+}
+
+fn bounds(options: &Options) -> Bounds {
+    let limit = |team: &Team| TeamLimit {
+        team: team.name.clone(),
+        cpus: team.cpus_max,
+        is_tight: team.name == TEAMS[1].0,
+    };
+    Bounds {
+        team_limits: deployment(options).teams.iter().map(limit).collect(),
+        cancel: Duration::from_secs_f64(TIMINGS.cancel_s),
+        answer: ANSWER_BOUND,
+        start: START_BOUND,
+    }
+}
+
+/// Creates an empty directory for the logs of a seed.
+fn log_directory(seed: u64) -> std::io::Result<PathBuf> {
+    let name = format!("soak-{}-{seed}", std::process::id());
+    let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    if directory.exists() {
+        std::fs::remove_dir_all(&directory)?;
+    }
+    std::fs::create_dir_all(&directory)?;
+    Ok(directory)
+}
--- /dev/null
+++ b/tests/soak/schedule.rs
@@ -0,0 +1,272 @@
+//! The schedule of troubles that a seed fixes.
+
+use crate::harness::store::TransactionLoss;
+use crate::harness::topology::{ControllerId, Link};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::fmt;
+use std::time::Duration;
+
+/// Time between the beginnings of two troubles, on average. Most troubles last longer, so that two or three overlap.
+const MEAN_INTERVAL: Duration = Duration::from_millis(1500);
+/// Range of the duration of a trouble, in milliseconds. The longest ones outlast a worker's lease.
+const DURATION_MS: std::ops::Range<u64> = 300..9000;
+/// Range of the time for which a controller that was killed is down, in milliseconds.
+const DOWN_MS: std::ops::Range<u64> = 50..4000;
+
+/// The controllers that a trouble concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Target {
+    /// One controller.
+    One(ControllerId),
+    /// The controller that leads at that moment.
+    Leader,
+    /// All controllers.
+    All,
+}
+
+/// The way in which a link is troubled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LinkTrouble {
+    /// Bytes towards the service are held.
+    HoldRequests,
+    /// Bytes from the service are held.
+    HoldResponses,
+    /// Bytes in both directions are held.
+    Hold,
+    /// Connections are refused, and open ones reset.
+    Refuse,
+    /// Bytes are delayed.
+    Slow(Duration),
+}
+
+/// The way in which workers are troubled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WorkerTrouble {
+    /// They execute nothing and send nothing.
+    Hang,
+    /// Their heartbeats are lost, while direct commands reach them.
+    Mute,
+    /// Their heartbeats arrive, while answers and direct commands are lost.
+    Deaf,
+    /// They are cut off from everything.
+    CutOff,
+    /// They and one controller cannot reach each other.
+    CutOffFrom(ControllerId),
+    /// Copies of their heartbeats arrive late.
+    LateReports(Duration),
+    /// Direct commands arrive late, unanswered.
+    LateCommands(Duration),
+}
+
+/// The workers that a trouble concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Workers {
+    /// One of so many, beginning with this one.
+    OneOf {
+        /// Distance between two of them.
+        every: usize,
+        /// Number of the first one.
+        first: usize,
+    },
+    /// Those of a zone.
+    Zone(&'static str),
+}
+
+/// A trouble.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    /// Controllers are killed and started again after the duration.
+    Kill(Target),
+    /// Controllers stand still while their clocks run on.
+    Pause(Target),
+    /// A link is troubled.
+    Link(Link, LinkTrouble),
+    /// The state service answers 503 to everybody.
+    StoreOutage,
+    /// The state service answers 503 to some controllers.
+    StoreRefuses(Target),
+    /// The state service answers slowly.
+    StoreSlow(Duration),
+    /// One of so many transactions gets no answer.
+    StoreLoses(TransactionLoss, u64),
+    /// The cloud answers 503.
+    CloudOutage,
+    /// Workers are troubled.
+    Workers(WorkerTrouble, Workers),
+    /// So many machines die.
+    MachinesDie(usize),
+    /// Users cancel so many jobs at once.
+    CancelNow(usize),
+    /// Users ask often, and hang up in the middle of requests.
+    PollStorm,
+}
+
+/// A trouble with its time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Planned {
+    /// When it begins, after the beginning of the troubles.
+    pub(crate) at: Duration,
+    /// How long it lasts.
+    pub(crate) duration: Duration,
+    /// The trouble.
+    pub(crate) trouble: Trouble,
+}
+
+impl Planned {
+    /// Returns when the trouble is over, late messages included.
+    fn end(&self) -> Duration {
+        let lateness = match self.trouble {
+            Trouble::StoreLoses(
+                TransactionLoss::Late(delay) | TransactionLoss::Repeated(delay),
+                _,
+            )
+            | Trouble::Workers(
+                WorkerTrouble::LateReports(delay) | WorkerTrouble::LateCommands(delay),
+                _,
+            )
+            | Trouble::Link(_, LinkTrouble::Slow(delay)) => delay,
+            _ => Duration::ZERO,
+        };
+        self.at + self.duration + lateness
+    }
+}
+
+/// The schedule of a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Schedule {
+    /// The troubles in the order of their beginnings.
+    pub(crate) troubles: Vec<Planned>,
+}
+
+impl Schedule {
+    /// Draws the troubles of a time.
+    pub(crate) fn draw(seed: u64, length: Duration) -> Schedule {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut troubles = Vec::new();
+        let mut at = Duration::ZERO;
+        loop {
+            at += MEAN_INTERVAL.mul_f64(random.gen_range(0.2..1.8));
+            if at >= length {
+                return Schedule { troubles };
+            }
+            let trouble = draw_trouble(&mut random);
+            let duration = match trouble {
+                Trouble::Kill(_) => random.gen_range(DOWN_MS),
+                _ => random.gen_range(DURATION_MS),
+            };
+            troubles.push(Planned {
+                at,
+                duration: Duration::from_millis(duration),
+                trouble,
+            });
+        }
+    }
+
+    /// Returns when the last trouble ends.
+    pub(crate) fn end(&self) -> Duration {
+        self.troubles
+            .iter()
+            .map(Planned::end)
+            .max()
+            .unwrap_or_default()
+    }
+}
+
+impl fmt::Display for Schedule {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for planned in &self.troubles {
+            writeln!(
+                formatter,
+                "  {:6.2} s, for {:5.2} s: {:?}",
+                planned.at.as_secs_f64(),
+                planned.duration.as_secs_f64(),
+                planned.trouble
+            )?;
+        }
+        Ok(())
+    }
+}
+
+fn draw_trouble(random: &mut StdRng) -> Trouble {
+    match random.gen_range(0..22) {
+        0..=2 => Trouble::Kill(draw_target(random)),
+        3..=4 => Trouble::Pause(draw_target(random)),
+        5..=8 => Trouble::Link(draw_link(random), draw_link_trouble(random)),
+        9 => Trouble::StoreOutage,
+        10..=11 => Trouble::StoreRefuses(draw_target(random)),
+        12 => Trouble::StoreSlow(draw_millis(random, 50..900)),
+        13 => Trouble::StoreLoses(draw_loss(random), random.gen_range(2..6)),
+        14 => Trouble::CloudOutage,
+        15..=16 => Trouble::Workers(draw_worker_trouble(random), draw_workers(random)),
+        17 => Trouble::MachinesDie(random.gen_range(1..4)),
+        18 => Trouble::CancelNow(random.gen_range(1..6)),
+        _ => Trouble::PollStorm,
+    }
+}
+
+fn draw_controller(random: &mut StdRng) -> ControllerId {
+    let controllers: Vec<ControllerId> = ControllerId::all().collect();
+    controllers[random.gen_range(0..controllers.len())]
+}
+
+fn draw_target(random: &mut StdRng) -> Target {
+    match random.gen_range(0..6) {
+        0..=2 => Target::Leader,
+        3..=4 => Target::One(draw_controller(random)),
+        _ => Target::All,
+    }
+}
+
+fn draw_link(random: &mut StdRng) -> Link {
+    let links = Link::all();
+    links[random.gen_range(0..links.len())]
+}
+
+fn draw_link_trouble(random: &mut StdRng) -> LinkTrouble {
+    match random.gen_range(0..5) {
+        0 => LinkTrouble::HoldRequests,
+        1 => LinkTrouble::HoldResponses,
+        2 => LinkTrouble::Hold,
+        3 => LinkTrouble::Refuse,
+        _ => LinkTrouble::Slow(draw_millis(random, 50..700)),
+    }
+}
+
+fn draw_loss(random: &mut StdRng) -> TransactionLoss {
+    let delay = draw_millis(random, 500..6000);
+    match random.gen_range(0..4) {
+        0 => TransactionLoss::AnswerLost,
+        1 => TransactionLoss::Late(delay),
+        2 => TransactionLoss::RequestLost,
+        _ => TransactionLoss::Repeated(delay),
+    }
+}
+
+fn draw_worker_trouble(random: &mut StdRng) -> WorkerTrouble {
+    match random.gen_range(0..7) {
+        0 => WorkerTrouble::Hang,
+        1 => WorkerTrouble::Mute,
+        2 => WorkerTrouble::Deaf,
+        3 => WorkerTrouble::CutOff,
+        4 => WorkerTrouble::CutOffFrom(draw_controller(random)),
+        5 => WorkerTrouble::LateReports(draw_millis(random, 500..9000)),
+        _ => WorkerTrouble::LateCommands(draw_millis(random, 500..9000)),
+    }
+}
+
+fn draw_workers(random: &mut StdRng) -> Workers {
+    if random.gen_bool(0.3) {
+        let zones = crate::run::ZONES;
+        return Workers::Zone(zones[random.gen_range(0..zones.len())]);
+    }
+    let every = random.gen_range(1..8);
+    Workers::OneOf {
+        every,
+        first: random.gen_range(0..every),
+    }
+}
+
+fn draw_millis(random: &mut StdRng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(random.gen_range(range))
+}
