A scheduling pass ends before the leader lease does, and the next one goes on

Cause: a pass tried every pending job against every machine with room in one turn of the event loop. The renewal came too late, the next leader had the same work and one failover more to make up for. Class: work without a bound on the only thread.

Evidence: turns of the event loop, timed in a scratch copy: all above 0.7 s were scheduling rounds, the time in Scheduler::place (up to 4,968 ms; preemption 43 ms at most).

A pass now ends after the job at which a tenth of the lease is over. Passes that follow take the jobs that were not tried, in the order of that time, so that an urgent job does not wait for the rest; one that was tried is tried again once all were. The share of the time that placement may use is as before. A pass that is short enough tries the same jobs in the same order as before.

--- a/src/controller/clock.rs
+++ b/src/controller/clock.rs
@@ -16,6 +16,14 @@
     /// A clock that a test sets, in milliseconds.
     #[cfg(test)]
     Scripted(std::rc::Rc<std::cell::Cell<u64>>),
+    /// A clock that advances with each reading, as if the work between two readings took that time.
+    #[cfg(test)]
+    Advancing {
+        /// Time of the next reading in milliseconds.
+        next: std::cell::Cell<u64>,
+        /// Time between two readings in milliseconds.
+        step: u64,
+    },
 }
 
 impl Clock {
@@ -32,6 +40,10 @@
             Clock::System { started_at } => START + started_at.elapsed(),
             #[cfg(test)]
             Clock::Scripted(now) => Timestamp::from_millis(now.get()),
+            #[cfg(test)]
+            Clock::Advancing { next, step } => {
+                Timestamp::from_millis(next.replace(next.get() + step))
+            }
         }
     }
 
@@ -44,6 +56,8 @@
             }
             #[cfg(test)]
             Clock::Scripted(now) => now.get(),
+            #[cfg(test)]
+            Clock::Advancing { next, .. } => next.get(),
         }
     }
 }
--- a/src/controller/state/scheduling_round.rs
+++ b/src/controller/state/scheduling_round.rs
@@ -9,6 +9,10 @@
 use std::fmt;
 use std::time::Duration;
 
+/// Number of scheduling passes, at least, that a leader lease lasts for. A renewal of the lease waits for the current pass, and so
+/// do health checks and users. Passes without a bound once outlasted the lease at 4,000 machines, and leaders ended in series.
+const PASSES_PER_LEASE: u32 = 10;
+
 /// The outcome of a scheduling round.
 pub(in crate::controller) enum RoundOutcome {
     /// This controller does not schedule or lacks full authority, and sends nothing.
@@ -103,7 +107,10 @@
         if !self.round_deadlines.placement_due(now) {
             return;
         }
-        if scheduler.place() {
+        let limit = self.settings.operator.leader_lease() / PASSES_PER_LEASE;
+        let clock = &self.clock;
+        let may_continue = || clock.now().saturating_duration_since(now) < limit;
+        if scheduler.place_while(may_continue) {
             scheduler.preempt_for_production();
         }
         let took = self.clock.now().saturating_duration_since(now);
--- a/src/controller/state/test_access.rs
+++ b/src/controller/state/test_access.rs
@@ -7,6 +7,10 @@
         &self.clock
     }
 
+    pub(in crate::controller) fn set_clock(&mut self, clock: Clock) {
+        self.clock = clock;
+    }
+
     pub(in crate::controller) fn replica_mut(&mut self) -> &mut Replica {
         &mut self.replica
     }
--- a/src/scheduler/candidates.rs
+++ b/src/scheduler/candidates.rs
@@ -60,7 +60,7 @@
                 && job.allows_machine(machine)
             {
                 candidates.push(Candidate {
-                    next_slots_s: self.next_slots_s(index, job, pass),
+                    next_slots_s: self.next_slots_s(index, job),
                     ..self.candidate(index, job, pass)
                 });
             }
@@ -112,7 +112,7 @@
 
     /// Returns when the tasks of a machine are expected to end, in seconds from now in ascending order, without the slots for
     /// which other tasks wait already.
-    fn next_slots_s(&self, index: MachineIndex, job: &Job, pass: &Pass) -> Vec<f64> {
+    fn next_slots_s(&self, index: MachineIndex, job: &Job) -> Vec<f64> {
         let machine = self.machine(index);
         let capability = machine.capability.get(job.resource_class).unwrap_or(1.0);
         let mut ends_s: Vec<f64> = machine
@@ -122,7 +122,7 @@
             .filter_map(|task| self.expected_remaining_s(*task, capability))
             .collect();
         ends_s.sort_by(f64::total_cmp);
-        let awaited = pass.awaited_slots.get(&index).copied().unwrap_or(0) as usize;
+        let awaited = self.sweep.awaited_slots.get(&index).copied().unwrap_or(0) as usize;
         ends_s.split_off(ends_s.len().min(awaited))
     }
 
--- a/src/scheduler/job.rs
+++ b/src/scheduler/job.rs
@@ -56,6 +56,8 @@
     pub(super) last_placed_at: Timestamp,
     /// Whether the team's guarantee covers the job, as of the last computation of the queue.
     pub(super) within_guarantee: bool,
+    /// Number of the latest sweep of scheduling passes that has tried to place tasks of the job.
+    pub(super) tried_in_sweep: u64,
     /// How often each task was preempted.
     pub(super) preemptions: BTreeMap<u32, u32>,
 }
@@ -102,6 +104,7 @@
             retry_at: Timestamp::ZERO,
             last_placed_at: now,
             within_guarantee: false,
+            tried_in_sweep: 0,
             preemptions: BTreeMap::new(),
         }
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -66,6 +66,7 @@
 use machines::{BootTimes, MachineRegistry, ZoneHealth};
 use names::NameInterner;
 use quota::QuotaLedger;
+use scheduling_pass::Sweep;
 use start_log::StartLog;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -111,6 +112,7 @@
     unplaced_production: Vec<JobIndex>,
     /// Whether a scheduling pass is needed because tasks may be placed that could not be placed before.
     pass_requested: bool,
+    sweep: Sweep,
 }
 
 impl Scheduler {
@@ -140,6 +142,7 @@
             boot_times: BootTimes::default(),
             unplaced_production: Vec::new(),
             pass_requested: true,
+            sweep: Sweep::default(),
         }
     }
 
@@ -227,16 +230,12 @@
         self.machines.contains(machine)
     }
 
-    /// Reports whether a scheduling pass is needed because tasks may be placed that could not be placed before.
-    #[must_use]
-    pub fn is_pass_requested(&self) -> bool {
-        self.pass_requested
-    }
-
     /// Reports whether a scheduling pass is requested, commands are to be sent or starts are to be logged.
     #[must_use]
     pub fn needs_pass(&self) -> bool {
-        self.pass_requested || !self.pending_commands.is_empty() || self.start_log.has_unwritten()
+        self.is_pass_requested()
+            || !self.pending_commands.is_empty()
+            || self.start_log.has_unwritten()
     }
 
     /// Reports whether this epoch has to end because its attempt numbers are used up.
--- a/src/scheduler/scheduling_pass.rs
+++ b/src/scheduler/scheduling_pass.rs
@@ -19,11 +19,31 @@
     pub(super) machines: Vec<MachineIndex>,
     /// Mean capability of the measured machines; 1 if none is measured.
     pub(super) mean_capability: ByClass<f64>,
-    /// Number of slots on each full image holder for which tasks of jobs earlier in the pass wait.
-    pub(super) awaited_slots: HashMap<MachineIndex, u32>,
     unplaceable: UnplaceableRequests,
 }
 
+/// A series of scheduling passes that together try every job of the queue once. Usually one pass suffices.
+#[derive(Default)]
+pub(super) struct Sweep {
+    /// Number of the sweep. Jobs with this number have been tried in it.
+    number: u64,
+    /// Whether a pass was interrupted, so that the next one goes on with the jobs that have not been tried.
+    is_interrupted: bool,
+    /// Number of slots on each full image holder for which tasks of jobs tried earlier wait.
+    pub(super) awaited_slots: HashMap<MachineIndex, u32>,
+}
+
+impl Sweep {
+    /// Begins the next sweep, unless this one is still to be completed.
+    fn begin_unless_interrupted(&mut self) {
+        if !self.is_interrupted {
+            self.number += 1;
+            self.awaited_slots.clear();
+        }
+        self.is_interrupted = false;
+    }
+}
+
 /// Number of tasks of a job to be placed in this pass.
 struct PlacementGoal {
     tasks: u32,
@@ -45,41 +65,85 @@
         self.pass_requested = true;
     }
 
+    /// Reports whether a scheduling pass is needed because tasks may be placed that could not be placed before, or because the
+    /// last one was interrupted.
+    #[must_use]
+    pub fn is_pass_requested(&self) -> bool {
+        self.pass_requested || self.sweep.is_interrupted
+    }
+
     /// Runs a scheduling pass if one is requested and placement is allowed, and assigns the tasks that can start now. Returns
     /// whether a pass was run.
-    pub fn place(&mut self) -> bool {
+    ///
+    /// The pass is interrupted after a job when `may_continue` returns `false`. The next pass goes on with the jobs that have
+    /// not been tried, in the order of that time, so that a job that has been added or has become more urgent does not wait for
+    /// those that are tried already.
+    pub fn place_while(&mut self, may_continue: impl Fn() -> bool) -> bool {
         if self.now < self.placement_allowed_from
             || self.has_exhausted_attempts()
-            || !std::mem::take(&mut self.pass_requested)
+            || !self.is_pass_requested()
         {
             return false;
         }
+        // A request that came during an interrupted sweep stands until that sweep is complete.
+        if !self.sweep.is_interrupted {
+            self.pass_requested = false;
+        }
+        self.sweep.begin_unless_interrupted();
+        self.run_pass(may_continue);
+        true
+    }
+
+    /// Runs a scheduling pass without interruption, see [`Scheduler::place_while`].
+    pub fn place(&mut self) -> bool {
+        self.place_while(|| true)
+    }
+
+    /// Tries the jobs of the queue that have not been tried in this sweep, until `may_continue` returns `false`.
+    fn run_pass(&mut self, may_continue: impl Fn() -> bool) {
         let queue = self.queue();
         self.unplaced_production.clear();
         if queue.is_empty() {
-            return true;
+            return;
         }
         let smallest_request = self.smallest_request(&queue);
         let mut pass = self.begin_pass(smallest_request);
         for index in queue {
-            let is_production = self.job(index).is_production();
-            if pass.machines.is_empty() && !is_production {
-                break;
-            }
-            if !pass.machines.is_empty() && !pass.unplaceable.covers(self.job(index)) {
-                self.place_job(index, &mut pass);
-            }
-            if self.job(index).pending() == 0 {
+            if !self.mark_tried(index) {
                 continue;
             }
-            if is_production {
-                self.unplaced_production.push(index);
+            if pass.machines.is_empty() && !self.job(index).is_production() {
+                break;
+            }
+            self.try_job(index, smallest_request, &mut pass);
+            if !may_continue() {
+                self.sweep.is_interrupted = true;
+                break;
             }
-            // Machines that have become full are not considered for the remaining jobs.
-            pass.machines
-                .retain(|machine| smallest_request.fits(self.machine(*machine).load.free()));
         }
-        true
+    }
+
+    /// Places tasks of a job unless it is known to find no machine.
+    fn try_job(&mut self, index: JobIndex, smallest_request: Resources, pass: &mut Pass) {
+        if !pass.machines.is_empty() && !pass.unplaceable.covers(self.job(index)) {
+            self.place_job(index, pass);
+        }
+        let job = self.job(index);
+        if job.pending() == 0 {
+            return;
+        }
+        if job.is_production() {
+            self.unplaced_production.push(index);
+        }
+        // Machines that have become full are not considered for the remaining jobs.
+        pass.machines
+            .retain(|machine| smallest_request.fits(self.machine(*machine).load.free()));
+    }
+
+    /// Marks a job as tried in this sweep. Returns `false` if it has been tried in an earlier pass of the sweep.
+    fn mark_tried(&mut self, index: JobIndex) -> bool {
+        let sweep = self.sweep.number;
+        std::mem::replace(&mut self.job_mut(index).tried_in_sweep, sweep) != sweep
     }
 
     /// Collects the machines of a pass and the mean capability in each resource class.
@@ -113,7 +177,6 @@
         Pass {
             machines,
             mean_capability,
-            awaited_slots: HashMap::new(),
             unplaceable: UnplaceableRequests::default(),
         }
     }
@@ -145,7 +208,7 @@
         // Some tasks were placed and more are left: the next pass may place them as well.
         self.pass_requested |= goal.has_more && !plan.start_now.is_empty();
         for share in plan.wait_for {
-            *pass.awaited_slots.entry(share.machine).or_default() += share.tasks;
+            *self.sweep.awaited_slots.entry(share.machine).or_default() += share.tasks;
         }
         self.assign_shares(index, &plan.start_now, goal.tasks);
     }
--- a/src/scheduler/tests/large_fleets.rs
+++ b/src/scheduler/tests/large_fleets.rs
@@ -140,3 +140,65 @@
         .handle_heartbeat(&status, HeartbeatSource::Request { may_start: true });
     assert!(cluster.scheduler.needs_pass());
 }
+
+/// Returns the ids of the jobs of which no task is pending.
+fn placed_jobs(cluster: &Cluster) -> Vec<&str> {
+    let placed = cluster.scheduler.jobs().filter(|job| job.pending() == 0);
+    placed.map(Job::id).collect()
+}
+
+#[test]
+fn an_interrupted_pass_goes_on_with_the_jobs_that_were_not_tried() {
+    let mut cluster = Cluster::new();
+    cluster.add_machine("n-1", "a");
+    // No machine is large enough for the first job, so that it is tried in vain.
+    let too_large = JobSpec {
+        cpus: 1000.0,
+        ..spec("wk-1", 1)
+    };
+    cluster.submit(too_large, 1);
+    cluster.submit(small_tasks("wk-2", 2), 2);
+    cluster.submit(small_tasks("wk-3", 3), 3);
+    assert!(cluster.scheduler.place_while(|| false));
+    assert!(placed_jobs(&cluster).is_empty());
+    // A job with a higher claim is tried before those that are left.
+    let urgent = JobSpec {
+        priority: Priority::Production,
+        kind: JobKind::Service,
+        ..small_tasks("wk-4", 1)
+    };
+    cluster.submit(urgent, 4);
+    assert!(cluster.scheduler.place_while(|| false));
+    assert!(placed_jobs(&cluster).contains(&"wk-4"));
+    while cluster.scheduler.is_pass_requested() {
+        assert!(cluster.scheduler.place_while(|| false));
+    }
+    assert_eq!(placed_jobs(&cluster), ["wk-2", "wk-3", "wk-4"]);
+    // The job that found no machine is not tried again without a reason.
+    assert!(!cluster.scheduler.place_while(|| false));
+}
+
+#[test]
+fn resources_freed_during_an_interrupted_sweep_are_offered_to_jobs_that_were_tried_before() {
+    let mut cluster = Cluster::new();
+    cluster.add_machine("n-1", "a");
+    cluster.submit(spec("wk-1", 4), 1);
+    let started = starts(&cluster.heartbeat("n-1", &[]));
+    cluster.heartbeat("n-1", &as_running(&started));
+    while cluster.scheduler.is_pass_requested() {
+        cluster.scheduler.place();
+    }
+    cluster.submit(spec("wk-2", 1), 2);
+    cluster.submit(spec("wk-3", 1), 3);
+    assert!(cluster.scheduler.place_while(|| false));
+    let ended = as_exited(&started, ExitReason::Done);
+    let status = cluster.next_status("n-1", first_token(EPOCH), &ended);
+    cluster
+        .scheduler
+        .handle_heartbeat(&status, HeartbeatSource::Request { may_start: true });
+    while cluster.scheduler.is_pass_requested() {
+        cluster.scheduler.place_while(|| false);
+    }
+    let placed = placed_jobs(&cluster);
+    assert!(placed.contains(&"wk-2") && placed.contains(&"wk-3"));
+}
