--- a/review/standins/cloud.py
+++ b/review/standins/cloud.py
@@ -50,7 +50,7 @@
             name = "n-%06d" % self.last
             flavor = next(flavor for flavor in self.flavors if flavor["sku"] == message["breed"])
             worker = self.make_worker(name, flavor, message["yard"], message["loaners"])
-            self.machines[name] = {"worker": worker, "rented_at": time.monotonic(), "up_at": None, "gone_at": None,
+            self.machines[name] = {"worker": worker, "rented_at": time.monotonic(), "up_at": None, "gone_at": None, "died_at": None,
                                    "breed": message["breed"], "yard": message["yard"], "loaners": message["loaners"]}
             asyncio.create_task(self.boot(name))
             names.append(name)
@@ -58,6 +58,10 @@
         self.record("cloud", "rented %s: %s" % (kind, names))
         return 200, {"hosts": names}
 
+    def lose_power(self, name):
+        self.machines[name]["died_at"] = time.monotonic()
+        self.machines[name]["worker"].lose_power()
+
     async def boot(self, name):
         machine = self.machines[name]
         await asyncio.sleep(self.boot_s)
@@ -73,8 +77,10 @@
             machine = self.machines[name]
             gone = machine["gone_at"] is not None and machine["gone_at"] <= at
             if name > after and machine["rented_at"] <= at and not gone:
+                # A machine that dies still shows as running for about 30 s.
+                failed = machine["died_at"] is not None and machine["died_at"] + 30.0 <= at
                 up = machine["up_at"] is not None and machine["up_at"] <= at
                 rows.append({"id": name, "address": machine["worker"].address if up else "", "breed": machine["breed"],
                              "yard": machine["yard"], "loaners": machine["loaners"],
-                             "standing": "running" if up else "starting", "ageS": at - machine["rented_at"]})
+                             "standing": "failed" if failed else "running" if up else "starting", "ageS": at - machine["rented_at"]})
         return 200, {"hosts": rows[:limit], "hasNext": len(rows) > limit}
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -59,6 +59,16 @@
             for job in self.jobs:
                 job.cancel()
 
+    def lose_power(self):
+        """The machine stops with all that is on it. Connections to it hang."""
+        self.ended = True
+        for task in list(self.tasks):
+            self.leave(task, "machine lost power")
+        self.tasks = []
+        for job in self.jobs:
+            job.cancel()
+        self.log("lost power")
+
     # Tasks
 
     def leave(self, task, why):
@@ -215,6 +225,8 @@
     # Direct commands
 
     async def handle(self, method, path, message):
+        if self.ended:
+            await asyncio.sleep(3600)
         if path == "/inspect":
             return 200, self.report()
         if path != "/orders" or not isinstance(message, dict) or "baton" not in message or "shift" not in message:
