--- a/review/standins/cloud.py
+++ b/review/standins/cloud.py
@@ -8,7 +8,7 @@
 
 class Cloud:
     def __init__(self, flavors, list_lag_s, capacity, boot_s, make_worker, record):
-        """`capacity` maps (breed, loaners) to the number of machines that can be rented; None is no bound."""
+        """`capacity` maps (breed, loaners), or that with a yard, to the number of machines that can still be rented."""
         self.flavors, self.list_lag_s, self.capacity, self.boot_s = flavors, list_lag_s, capacity, boot_s
         self.make_worker, self.record = make_worker, record
         self.hires, self.machines, self.last = {}, {}, 230
@@ -37,13 +37,14 @@
     def rent(self, message):
         if message["hire"] in self.hires:
             return 200, {"hosts": self.hires[message["hire"]]}
-        kind = (message["breed"], message["loaners"])
+        kind = (message["breed"], message["loaners"], message["yard"])
+        if kind not in self.capacity:
+            kind = kind[:2]
         left = self.capacity.get(kind, 0)
-        count = min(message["howMany"], 50) if left is None else min(message["howMany"], left)
+        count = min(message["howMany"], 50, left)
         if count == 0:
             return 503, {"error": "no capacity"}
-        if left is not None:
-            self.capacity[kind] = left - count
+        self.capacity[kind] = left - count
         names = []
         for _ in range(count):
             self.last += 1
