--- a/src/scheduler/heartbeat/commands.rs
+++ b/src/scheduler/heartbeat/commands.rs
@@ -1,6 +1,6 @@
 //! Assembly of commands for a worker, for the reply to its heartbeat or for direct commands.
 
-use crate::protocol::{Command, HeartbeatReply};
+use crate::protocol::{Command, FencingToken, HeartbeatReply};
 use crate::scheduler::attempt::{Phase, Route, TaskEvent, TaskId};
 use crate::scheduler::index::MachineIndex;
 use crate::scheduler::Scheduler;
@@ -30,9 +30,34 @@
         commands.truncate(MAX_COMMANDS_PER_MESSAGE);
         self.void_duplicates_of_forgotten_starts(index, &mut commands);
         let token = self.token(self.machine(index));
+        self.log_reply(index, token, &commands);
         HeartbeatReply { token, commands }
     }
 
+    /// Logs a reply with commands. The worker may receive it seconds later, after direct commands that were sent later, so the
+    /// token and the sequence of both are needed to tell what the worker knew when.
+    fn log_reply(&self, index: MachineIndex, token: FencingToken, commands: &[Command]) {
+        if commands.is_empty() {
+            return;
+        }
+        let machine = self.machine(index);
+        let count = |is_counted: fn(&Command) -> bool| {
+            commands
+                .iter()
+                .filter(|command| is_counted(command))
+                .count()
+        };
+        tracing::debug!(
+            machine = %machine.name(),
+            sequence = machine.contact.latest_heartbeat().number,
+            token = token.as_u64(),
+            starts = count(|command| matches!(command, Command::Start { .. })),
+            stops = count(|command| matches!(command, Command::Stop { .. })),
+            forgets = count(|command| matches!(command, Command::Forget { .. })),
+            "heartbeat reply with commands"
+        );
+    }
+
     /// Prevents a delayed duplicate of a direct start from running a forgotten attempt again. The duplicate may arrive after
     /// the attempt has ended, and once the worker has forgotten the attempt, it would start it anew. If direct starts were
     /// sent under the current token, a reply with a [`Command::Forget`] therefore carries a higher token, which voids
@@ -49,6 +74,8 @@
             commands.retain(|command| !is_forget(command));
         } else if channel.has_sent_direct_starts() && commands.iter().any(is_forget) {
             channel.advance_token();
+            let machine = self.machine(index);
+            tracing::debug!(machine = %machine.name(), token = self.token(machine).as_u64(), "fencing token advanced, duplicates of direct starts are void");
         }
     }
 
@@ -78,7 +105,7 @@
             let machine = self.machine(index);
             let (token, epoch) = (self.token(machine), self.epoch);
             let direct = route == Route::Direct;
-            tracing::info!(job = %self.job(task.job).record.spec.id, task = task.number, machine = %machine.name(), %epoch, direct, "sending task start to worker");
+            tracing::info!(job = %self.job(task.job).record.spec.id, task = task.number, machine = %machine.name(), %epoch, direct, attempt = active.attempt, token = token.as_u64(), "sending task start to worker");
             commands.push(Command::Start {
                 task: self.task_name(task),
                 attempt: active.attempt,
--- a/src/scheduler/heartbeat/reconciliation.rs
+++ b/src/scheduler/heartbeat/reconciliation.rs
@@ -209,8 +209,7 @@
             if active.phase == Phase::Assigned || self.start_in_transit(heartbeat, &active) {
                 continue;
             }
-            let (job, machine) = (self.job(task.job), self.machine(heartbeat.machine));
-            tracing::info!(job = %job.record.spec.id, task = task.number, machine = %machine.name(), "task is not listed by its machine, marked as gone");
+            self.log_unlisted(heartbeat, task, &active);
             start_lost |= !active.reported
                 && active.route == Route::HeartbeatReply
                 && active.token == heartbeat.report.token;
@@ -219,6 +218,25 @@
         start_lost
     }
 
+    /// Logs that a task is taken for gone because its machine does not list it, with what the conclusion is drawn from.
+    fn log_unlisted(&self, heartbeat: Heartbeat, task: TaskId, active: &TaskAttempt) {
+        let (job, machine) = (self.job(task.job), self.machine(heartbeat.machine));
+        tracing::info!(
+            job = %job.record.spec.id,
+            task = task.number,
+            machine = %machine.name(),
+            attempt = active.attempt,
+            start_token = active.token.as_u64(),
+            start_route = ?active.route,
+            reported = active.reported,
+            heartbeat_token = heartbeat.report.token.as_u64(),
+            heartbeat_sequence = heartbeat.report.sequence,
+            heartbeat_source = ?heartbeat.source,
+            direct_in_flight = machine.commands.is_direct_in_flight(),
+            "task is not listed by its machine, marked as gone"
+        );
+    }
+
     /// Reports whether a start may still be in transit to the worker that has sent this heartbeat. A start under an older
     /// token is void, because the worker has seen the current one.
     fn start_in_transit(&self, heartbeat: Heartbeat, active: &TaskAttempt) -> bool {
--- a/src/scheduler/machines/direct_commands.rs
+++ b/src/scheduler/machines/direct_commands.rs
@@ -208,6 +208,7 @@
         let machine = self.machine_mut(index);
         machine.commands.advance_token();
         machine.contact.reset_acknowledgement();
-        tracing::info!(machine = %machine.name(), reason, "fencing token advanced, no new work until the worker acknowledges it");
+        let machine = self.machine(index);
+        tracing::info!(machine = %machine.name(), reason, token = self.token(machine).as_u64(), "fencing token advanced, no new work until the worker acknowledges it");
     }
 }
