A start is recorded under the token of the reply that carries it

A machine that was told in one answer to forget a task and to start another ran the new task after a second machine had got it too.

Cause: a reply with a Forget raises the fencing token if direct starts were sent under the current one, so that their copies are void. That happened after the starts of the reply were recorded as sent under the token before. While the reply was on its way, a direct command under the raised token overtook it. Its response showed that token and not the task; "a start under an older token is void" then proved the task gone, though its reply carried the raised token and was executed 2.5 s later.

Fix: a message to a worker is a WorkerMessage. Its token is read once, after it is decided whether the reply raises it, and each start is recorded with it. A message whose machine has got another token meanwhile logs an error and is closed without its starts. Replies and direct commands are assembled in the same way.

The second test plays a leader and three workers by the protocol, with messages in random orders, late, lost and twice, leases and failovers, and compares the scheduler's belief with what runs or may still start.

--- a/src/scheduler/heartbeat/commands.rs
+++ b/src/scheduler/heartbeat/commands.rs
@@ -1,59 +1,71 @@
-//! Assembly of commands for a worker, for the reply to its heartbeat or for direct commands.
+//! Assembly of the reply to a heartbeat.
 
-use crate::protocol::{Command, FencingToken, HeartbeatReply};
-use crate::scheduler::attempt::{Phase, Route, TaskEvent, TaskId};
+use crate::protocol::{Command, HeartbeatReply};
+use crate::scheduler::attempt::Route;
 use crate::scheduler::index::MachineIndex;
+use crate::scheduler::worker_message::{WorkerMessage, MAX_COMMANDS_PER_MESSAGE};
 use crate::scheduler::Scheduler;
 
-/// Maximum number of commands in one message to a worker, which keeps it far below 64 KiB. The rest follow in later messages.
-const MAX_COMMANDS_PER_MESSAGE: usize = 300;
+fn is_forget(command: &Command) -> bool {
+    matches!(command, Command::Forget { .. })
+}
 
 impl Scheduler {
-    /// Adds the starts of a machine to a reply, and removes the machine from those with pending commands unless the reply is
-    /// full or direct commands are in flight, after which more may follow.
-    pub(super) fn add_starts_to_reply(&mut self, index: MachineIndex, commands: &mut Vec<Command>) {
-        self.collect_starts(index, Route::HeartbeatReply, commands);
-        let is_complete = commands.len() < MAX_COMMANDS_PER_MESSAGE;
-        if is_complete && !self.machine(index).commands.is_direct_in_flight() {
-            self.pending_commands.remove(&index);
-        }
-    }
-
-    /// Returns the reply to a heartbeat with the given commands.
+    /// Returns the reply to a heartbeat with the given commands and, if the machine `may_start` tasks, with its starts.
+    ///
+    /// The starts are added last, when it is decided whether the reply raises the token. Otherwise they would be recorded under
+    /// the token before, as if they were void once the worker shows the raised one: a task whose start was on its way in the
+    /// reply, while a direct command overtook it, was then started on a second machine.
     pub(super) fn reply(
         &mut self,
         index: MachineIndex,
         mut commands: Vec<Command>,
+        may_start: bool,
     ) -> HeartbeatReply {
         // Stops come first. Commands beyond the limit are left to the next reply.
         commands.sort_by_key(|command| !matches!(command, Command::Stop { .. }));
         commands.truncate(MAX_COMMANDS_PER_MESSAGE);
         self.void_duplicates_of_forgotten_starts(index, &mut commands);
-        let token = self.token(self.machine(index));
-        self.log_reply(index, token, &commands);
-        HeartbeatReply { token, commands }
+        let mut message = self.open_message(index, Route::HeartbeatReply, commands);
+        if may_start {
+            self.add_starts_to_reply(index, &mut message);
+        }
+        let closed = self.close_message(message);
+        let reply = HeartbeatReply {
+            token: closed.token,
+            commands: closed.commands,
+        };
+        self.log_reply(index, &reply);
+        reply
+    }
+
+    /// Adds the starts of a machine to a reply, and removes the machine from those with pending commands unless the reply is
+    /// full or direct commands are in flight, after which more may follow.
+    fn add_starts_to_reply(&mut self, index: MachineIndex, message: &mut WorkerMessage) {
+        self.add_starts(message);
+        if !message.is_full() && !self.machine(index).commands.is_direct_in_flight() {
+            self.pending_commands.remove(&index);
+        }
     }
 
     /// Logs a reply with commands. The worker may receive it seconds later, after direct commands that were sent later, so the
     /// token and the sequence of both are needed to tell what the worker knew when.
-    fn log_reply(&self, index: MachineIndex, token: FencingToken, commands: &[Command]) {
-        if commands.is_empty() {
+    fn log_reply(&self, index: MachineIndex, reply: &HeartbeatReply) {
+        if reply.commands.is_empty() {
             return;
         }
         let machine = self.machine(index);
         let count = |is_counted: fn(&Command) -> bool| {
-            commands
-                .iter()
-                .filter(|command| is_counted(command))
-                .count()
+            let counted = reply.commands.iter().filter(|command| is_counted(command));
+            counted.count()
         };
         tracing::debug!(
             machine = %machine.name(),
             sequence = machine.contact.latest_heartbeat().number,
-            token = token.as_u64(),
+            token = reply.token.as_u64(),
             starts = count(|command| matches!(command, Command::Start { .. })),
             stops = count(|command| matches!(command, Command::Stop { .. })),
-            forgets = count(|command| matches!(command, Command::Forget { .. })),
+            forgets = count(is_forget),
             "heartbeat reply with commands"
         );
     }
@@ -68,7 +80,6 @@
         index: MachineIndex,
         commands: &mut Vec<Command>,
     ) {
-        let is_forget = |command: &Command| matches!(command, Command::Forget { .. });
         let channel = &mut self.machine_mut(index).commands;
         if channel.is_direct_in_flight() {
             commands.retain(|command| !is_forget(command));
@@ -78,79 +89,4 @@
             tracing::debug!(machine = %machine.name(), token = self.token(machine).as_u64(), "fencing token advanced, duplicates of direct starts are void");
         }
     }
-
-    /// Returns the name of a task in messages to workers.
-    fn task_name(&self, task: TaskId) -> String {
-        format!("{}/{}", self.job(task.job).record.spec.id, task.number)
-    }
-
-    /// Adds the starts of a machine to a message, as far as their entries in the start log are durable.
-    pub(in crate::scheduler) fn collect_starts(
-        &mut self,
-        index: MachineIndex,
-        route: Route,
-        commands: &mut Vec<Command>,
-    ) {
-        for task in self.machine(index).load.tasks().clone() {
-            if commands.len() >= MAX_COMMANDS_PER_MESSAGE {
-                self.pending_commands.insert(index);
-                return;
-            }
-            let Some(active) = self.attempt(task).copied() else {
-                continue;
-            };
-            if active.phase != Phase::Assigned || !active.logged {
-                continue;
-            }
-            let machine = self.machine(index);
-            let (token, epoch) = (self.token(machine), self.epoch);
-            let direct = route == Route::Direct;
-            tracing::info!(job = %self.job(task.job).record.spec.id, task = task.number, machine = %machine.name(), %epoch, direct, attempt = active.attempt, token = token.as_u64(), "sending task start to worker");
-            commands.push(Command::Start {
-                task: self.task_name(task),
-                attempt: active.attempt,
-            });
-            self.apply_event(task, TaskEvent::Send { route, token });
-        }
-    }
-
-    /// Adds the unsent stops of a machine to a message. A stop that arrives late is harmless, since it names its attempt.
-    pub(in crate::scheduler) fn collect_stops(
-        &mut self,
-        index: MachineIndex,
-        commands: &mut Vec<Command>,
-    ) {
-        for task in self.machine(index).load.tasks().clone() {
-            if commands.len() >= MAX_COMMANDS_PER_MESSAGE {
-                self.pending_commands.insert(index);
-                return;
-            }
-            if let Some(stop) = self.take_unsent_stop(task) {
-                commands.push(stop);
-            }
-        }
-    }
-
-    /// Returns the stop of a task that is being stopped and marks it as sent, unless it was sent before.
-    fn take_unsent_stop(&mut self, task: TaskId) -> Option<Command> {
-        let job = self.job_mut(task.job);
-        let active = job.active.get_mut(&task.number)?;
-        let Phase::Stopping { save } = active.phase else {
-            return None;
-        };
-        if std::mem::replace(&mut active.stop_sent, true) {
-            return None;
-        }
-        let attempt = active.attempt;
-        let grace_s = if save {
-            job.record.spec.checkpoint_save_s
-        } else {
-            0.0
-        };
-        Some(Command::Stop {
-            task: self.task_name(task),
-            attempt,
-            grace_s,
-        })
-    }
 }
--- a/src/scheduler/heartbeat/mod.rs
+++ b/src/scheduler/heartbeat/mod.rs
@@ -109,11 +109,12 @@
     fn handle_newest_heartbeat(&mut self, heartbeat: Heartbeat) -> HeartbeatReply {
         let session_changed = self.record_contact(heartbeat);
         let mut commands = Vec::new();
-        if heartbeat.report.token == self.token(self.machine(heartbeat.machine)) {
-            self.handle_current_token_heartbeat(heartbeat, session_changed, &mut commands);
+        let may_start = if heartbeat.report.token == self.token(self.machine(heartbeat.machine)) {
+            self.handle_current_token_heartbeat(heartbeat, session_changed, &mut commands)
         } else {
             self.stop_ended_jobs(heartbeat.report, &mut commands);
-        }
-        self.reply(heartbeat.machine, commands)
+            false
+        };
+        self.reply(heartbeat.machine, commands, may_start)
     }
 }
--- a/src/scheduler/heartbeat/session.rs
+++ b/src/scheduler/heartbeat/session.rs
@@ -36,12 +36,13 @@
     }
 
     /// Processes the newest heartbeat under the current token, which is authoritative for the tasks on its machine.
+    /// Returns true if the reply may start tasks.
     pub(super) fn handle_current_token_heartbeat(
         &mut self,
         heartbeat: Heartbeat,
         session_changed: bool,
         commands: &mut Vec<Command>,
-    ) {
+    ) -> bool {
         let index = heartbeat.machine;
         self.record_token_acknowledgement(heartbeat);
         if self.machine(index).state() == MachineState::Waiting {
@@ -53,11 +54,13 @@
         // again; otherwise such a machine would be given the same tasks and lose them again and again.
         if session_changed {
             self.advance_fencing_token(index, "new worker session");
-        } else if start_lost {
+            return false;
+        }
+        if start_lost {
             self.advance_fencing_token(index, "start in a heartbeat reply was not executed");
-        } else if heartbeat.source == (HeartbeatSource::Request { may_start: true }) {
-            self.add_starts_to_reply(index, commands);
+            return false;
         }
+        heartbeat.source == HeartbeatSource::Request { may_start: true }
     }
 
     /// Records that the machine has acknowledged its current token. Requests a scheduling pass if it had not done so before,
--- a/src/scheduler/machines/direct_commands.rs
+++ b/src/scheduler/machines/direct_commands.rs
@@ -88,14 +88,19 @@
 
     /// Returns a message with the unsent stops and starts of a machine.
     fn collect_commands(&mut self, index: MachineIndex) -> DirectCommands {
-        let mut message = self.message_without_commands(index);
-        self.collect_stops(index, &mut message.commands);
+        let mut message = self.open_message(index, Route::Direct, Vec::new());
+        self.add_stops(&mut message);
         // A release may take long if the cloud does not respond, so cancelled tasks are stopped in the meantime. Starts are
         // not sent to a machine that is to be released.
         if self.machine(index).state() != MachineState::Releasing {
-            self.collect_starts(index, Route::Direct, &mut message.commands);
+            self.add_starts(&mut message);
+        }
+        let closed = self.close_message(message);
+        DirectCommands {
+            token: closed.token,
+            commands: closed.commands,
+            ..self.message_without_commands(index)
         }
-        message
     }
 
     /// Returns a message to a machine that contains no commands.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -14,7 +14,7 @@
 //!   can't be placed in a pass); `crate::placement` selects among the candidates;
 //! - capacity: `preemption` (tasks to stop in favor of others) and `demand` (machines to rent), both based on
 //!   `capacity_pool`; `utilization` (used and surplus capacity);
-//! - machines: `machines`, `heartbeat` (worker reports), `image_holders`, `fetch_rates`, `machine_types`;
+//! - machines: `machines`, `heartbeat` (worker reports), `worker_message` (commands to workers), `image_holders`, `fetch_rates`, `machine_types`;
 //! - durability: `start_log` (the write-ahead log of starts, its text format and its replay).
 
 mod attempt;
@@ -42,6 +42,7 @@
 mod task_events;
 mod unplaceable;
 mod utilization;
+mod worker_message;
 
 pub use attempt::{Phase, TaskAttempt, TaskId};
 pub use demand::UnmetDemand;
--- a/src/scheduler/tests/cluster.rs
+++ b/src/scheduler/tests/cluster.rs
@@ -9,6 +9,46 @@
     sequence: u64,
 }
 
+/// Returns a scheduler of an epoch that begins at this time. Each team may use this many thousandths of CPUs.
+pub(super) fn scheduler_of_epoch(epoch: Epoch, cpu_limit_milli: u64, now_ms: u64) -> Scheduler {
+    let team = |name: &str, guarantee| TeamQuota {
+        name: name.into(),
+        guarantee: QuotaResources {
+            cpu_milli: guarantee,
+            gpu_milli: 0,
+        },
+        limit: QuotaResources {
+            cpu_milli: cpu_limit_milli,
+            ..QuotaResources::UNLIMITED
+        },
+    };
+    let params = Params {
+        lease_duration: ms(LEASE_MS),
+        heartbeat_interval: ms(1500),
+        grace_period: ms(GRACE_PERIOD_MS),
+        group_factor: 1.25,
+        fetch_gb_per_s: 0.1,
+        transfer_test: true,
+        teams: vec![team("t", 0), team("u", 4000)],
+        finish_within: HashMap::new(),
+    };
+    let mut scheduler = Scheduler::new(params, epoch, now_ms);
+    let machine_type = MachineType {
+        name: "m8".into(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 32.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 0.1,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 30.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    scheduler.update_machine_types(&[machine_type]);
+    scheduler
+}
+
 impl Cluster {
     /// Creates a cluster without machines, whose teams have no limits.
     pub(super) fn new() -> Cluster {
@@ -17,41 +57,7 @@
 
     /// Creates a cluster without machines, in which each team may use this many thousandths of CPUs.
     pub(super) fn with_cpu_limit(cpu_limit_milli: u64) -> Cluster {
-        let team = |name: &str, guarantee| TeamQuota {
-            name: name.into(),
-            guarantee: QuotaResources {
-                cpu_milli: guarantee,
-                gpu_milli: 0,
-            },
-            limit: QuotaResources {
-                cpu_milli: cpu_limit_milli,
-                ..QuotaResources::UNLIMITED
-            },
-        };
-        let params = Params {
-            lease_duration: ms(LEASE_MS),
-            heartbeat_interval: ms(1500),
-            grace_period: ms(GRACE_PERIOD_MS),
-            group_factor: 1.25,
-            fetch_gb_per_s: 0.1,
-            transfer_test: true,
-            teams: vec![team("t", 0), team("u", 4000)],
-            finish_within: HashMap::new(),
-        };
-        let mut scheduler = Scheduler::new(params, EPOCH, 1000);
-        let machine_type = MachineType {
-            name: "m8".into(),
-            cpus: 8.0,
-            gpus: 0.0,
-            memory_gb: 32.0,
-            cache_gb: 50.0,
-            fetch_gb_per_s: 0.1,
-            price: 1.0,
-            spot_price: 0.3,
-            boot_s: 30.0,
-            zones: vec!["a".into(), "b".into()],
-        };
-        scheduler.update_machine_types(&[machine_type]);
+        let scheduler = scheduler_of_epoch(EPOCH, cpu_limit_milli, 1000);
         Cluster {
             scheduler,
             sequence: 0,
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -2,11 +2,13 @@
 
 mod booting;
 mod cluster;
+mod delayed_replies;
 mod describe;
 mod direct_commands;
 mod health;
 mod image_holders;
 mod large_fleets;
+mod message_orders;
 mod new_leader;
 mod placement;
 mod preemption;
