One place decides whether a task is proven gone, and refuses contradictions

Now every transition to "gone" names its proof (GoneProof), whose check is the only place that decides. A proof that contradicts the attempt (a sent start taken for unsent, a heartbeat under an older token than the start) is refused with an error that names the facts; the task goes on counting as active. A task that one machine lists while it is active on another one is logged as an error as well; it was stopped silently.

Behaviour without such a contradiction is as before.

--- a/src/scheduler/attempt.rs
+++ b/src/scheduler/attempt.rs
@@ -1,5 +1,6 @@
 //! The state machine of an active task: its attempt on a machine, the events, and the transitions that they cause.
 
+use super::gone_proof::{Conclusion, GoneProof, InvalidProof};
 use super::index::{JobIndex, MachineIndex};
 use crate::protocol::FencingToken;
 use crate::time::Timestamp;
@@ -96,8 +97,8 @@
         /// Whether it is given time to write a checkpoint.
         save: bool,
     },
-    /// The task is proven to be on no machine.
-    Gone,
+    /// The task is taken for gone, if the proof holds.
+    Gone(GoneProof),
     /// The task has finished.
     Finished,
 }
@@ -156,6 +157,8 @@
     To(TaskAttempt),
     /// The task is no longer on any machine.
     Gone,
+    /// The event contradicts the task's state and must have no effect.
+    Refused(InvalidProof),
 }
 
 impl Transition {
@@ -202,14 +205,25 @@
             {
                 Transition::To(attempt.in_phase(phase, now))
             }
-            // The start command was never sent, so the task cannot be on a machine.
-            TaskEvent::Stop { .. } if assigned => Transition::Gone,
+            TaskEvent::Stop { .. } if assigned => {
+                Transition::of_gone(attempt, GoneProof::NeverSent)
+            }
             TaskEvent::Stop { save } => Transition::of_stop(attempt, save, now),
-            TaskEvent::Gone | TaskEvent::Finished => Transition::Gone,
+            TaskEvent::Gone(proof) => Transition::of_gone(attempt, proof),
+            TaskEvent::Finished => Transition::Gone,
             _ => Transition::Unchanged,
         }
     }
 
+    /// Returns the effect of a proof that an active task is gone.
+    fn of_gone(attempt: TaskAttempt, proof: GoneProof) -> Transition {
+        match proof.check(&attempt) {
+            Ok(Conclusion::Gone) => Transition::Gone,
+            Ok(Conclusion::Undecided) => Transition::Unchanged,
+            Err(error) => Transition::Refused(error),
+        }
+    }
+
     /// Returns the effect of a stop on a task whose start command was sent. A task that is writing its checkpoint may still be
     /// stopped at once, but a task that is being stopped at once is not given time for a checkpoint.
     fn of_stop(attempt: TaskAttempt, save: bool, now: Timestamp) -> Transition {
--- a/src/scheduler/heartbeat/mod.rs
+++ b/src/scheduler/heartbeat/mod.rs
@@ -3,7 +3,8 @@
 //! A heartbeat arrives as a request of the worker, whose reply renews the worker's lease and carries commands, or as the
 //! response to direct commands. Heartbeats are ordered by session and sequence number (`sequence`). Only the newest one
 //! counts, and only one under the machine's current fencing token determines which tasks are on the machine. `session`
-//! processes contact and lease, `reconciliation` compares the listed tasks with the known ones, `adoption` adopts tasks that
+//! processes contact and lease, `reconciliation` compares the listed tasks with the known ones, `unlisted` drops
+//! those that are gone, `adoption` adopts tasks that
 //! are unknown here, `outcomes` handles tasks that have ended, and `commands` assembles the reply.
 
 mod adoption;
@@ -12,6 +13,7 @@
 mod reconciliation;
 mod sequence;
 mod session;
+mod unlisted;
 
 pub(super) use sequence::HeartbeatSequence;
 
--- a/src/scheduler/heartbeat/outcomes.rs
+++ b/src/scheduler/heartbeat/outcomes.rs
@@ -2,6 +2,7 @@
 
 use crate::protocol::{ExitReason, JobKind};
 use crate::scheduler::attempt::{Phase, TaskAttempt, TaskEvent, TaskId};
+use crate::scheduler::gone_proof::GoneProof;
 use crate::scheduler::index::{JobIndex, MachineIndex};
 use crate::scheduler::machines::MachineState;
 use crate::scheduler::Scheduler;
@@ -31,7 +32,7 @@
             return self.handle_result(machine, task, active);
         }
         let Some(active) = active else { return true };
-        self.apply_event(task, TaskEvent::Gone);
+        self.apply_event(task, TaskEvent::Gone(GoneProof::Ended));
         if !active.is_stopping() {
             self.handle_failure(machine, task.job, reason);
         }
--- a/src/scheduler/heartbeat/reconciliation.rs
+++ b/src/scheduler/heartbeat/reconciliation.rs
@@ -1,16 +1,11 @@
 //! Reconciliation of the tasks that a machine lists with those that the scheduler has recorded for it.
 //!
-//! The newest heartbeat under the current token is authoritative for its machine, except for starts in transit:
-//!
-//! - direct starts whose response is pending, and
-//! - if the heartbeat is the response to direct commands, starts in the reply to a request, which the worker may not have
-//!   received yet. Only the worker's next request shows whether it has, since a worker has one request in flight at a time.
-//!   Otherwise the response to a direct stop that overtakes such a start would show the task as gone, and it would run
-//!   twice.
+//! The newest heartbeat under the current token is authoritative for its machine, except for starts in transit, see
+//! [`GoneProof`](crate::scheduler::gone_proof::GoneProof).
 
 use super::Heartbeat;
 use crate::protocol::{split_task, Command, TaskState, TaskStatus, WorkerStatus};
-use crate::scheduler::attempt::{Phase, Route, TaskAttempt, TaskEvent, TaskId};
+use crate::scheduler::attempt::{Phase, TaskAttempt, TaskEvent, TaskId};
 use crate::scheduler::index::MachineIndex;
 use crate::scheduler::Scheduler;
 use crate::time::whole_millis;
@@ -99,36 +94,6 @@
         attempt.filter(|a| a.machine == machine && a.attempt == status.attempt)
     }
 
-    /// Drops recorded attempts in whose place the machine lists another live attempt of the same task. An attempt that is
-    /// still in transit is kept. The listed attempt is then adopted as the active one. If it were stopped as unknown instead,
-    /// the task could be started elsewhere before this attempt has ended.
-    fn drop_replaced_attempts(&mut self, heartbeat: Heartbeat) {
-        let statuses = &heartbeat.report.tasks;
-        for status in statuses
-            .iter()
-            .filter(|status| status.state != TaskState::Exited)
-        {
-            let Some(task) = self.find_task(&status.task) else {
-                continue;
-            };
-            let Some(active) = self.attempt(task).copied() else {
-                continue;
-            };
-            if active.machine != heartbeat.machine
-                || active.attempt == status.attempt
-                || self.start_in_transit(heartbeat, &active)
-            {
-                continue;
-            }
-            let is_listed = statuses
-                .iter()
-                .any(|other| other.task == status.task && other.attempt == active.attempt);
-            if active.phase != Phase::Assigned && !is_listed {
-                self.apply_event(task, TaskEvent::Gone);
-            }
-        }
-    }
-
     /// Processes a listed task that has ended.
     fn reconcile_ended(
         &mut self,
@@ -172,6 +137,7 @@
         let phase = live_phase(status.state);
         self.adopt_if_unknown(machine, task, status, phase);
         let Some(active) = self.listed_attempt(machine, task, status) else {
+            self.report_if_active_elsewhere(machine, task, status);
             commands.push(stop_command(status, 0.0));
             return;
         };
@@ -192,66 +158,27 @@
         }
     }
 
-    /// Marks recorded tasks that the machine does not list as gone, unless their start is still in transit. Returns true if a
-    /// start in the reply to a request was not executed.
-    fn drop_unlisted(&mut self, heartbeat: Heartbeat, listed: &HashSet<TaskId>) -> bool {
-        let tasks = self.machine(heartbeat.machine).load.tasks();
-        let unlisted: Vec<_> = tasks
-            .iter()
-            .copied()
-            .filter(|task| !listed.contains(task))
-            .collect();
-        let mut start_lost = false;
-        for task in unlisted {
-            let Some(active) = self.attempt(task).copied() else {
-                continue;
-            };
-            if active.phase == Phase::Assigned || self.start_in_transit(heartbeat, &active) {
-                continue;
-            }
-            self.log_unlisted(heartbeat, task, &active);
-            start_lost |= !active.reported
-                && active.route == Route::HeartbeatReply
-                && active.token == heartbeat.report.token;
-            self.apply_event(task, TaskEvent::Gone);
-        }
-        start_lost
-    }
-
-    /// Logs that a task is taken for gone because its machine does not list it, with what the conclusion is drawn from.
-    fn log_unlisted(&self, heartbeat: Heartbeat, task: TaskId, active: &TaskAttempt) {
-        let (job, machine) = (self.job(task.job), self.machine(heartbeat.machine));
-        tracing::info!(
-            job = %job.record.spec.id,
+    /// Logs an error if a task that this machine lists as live is active on another one: an attempt was wrongly taken for gone.
+    /// The listed attempt is stopped.
+    fn report_if_active_elsewhere(&self, machine: MachineIndex, task: TaskId, status: &TaskStatus) {
+        let Some(active) = self.attempt(task).filter(|a| a.machine != machine) else {
+            return;
+        };
+        tracing::error!(
+            job = %self.job(task.job).record.spec.id,
             task = task.number,
-            machine = %machine.name(),
-            attempt = active.attempt,
-            start_token = active.token.as_u64(),
-            start_route = ?active.route,
-            reported = active.reported,
-            heartbeat_token = heartbeat.report.token.as_u64(),
-            heartbeat_sequence = heartbeat.report.sequence,
-            heartbeat_source = ?heartbeat.source,
-            direct_in_flight = machine.commands.is_direct_in_flight(),
-            "task is not listed by its machine, marked as gone"
+            machine = %self.machine(machine).name(),
+            attempt = status.attempt,
+            state = ?status.state,
+            active_machine = %self.machine(active.machine).name(),
+            active_attempt = active.attempt,
+            active_phase = ?active.phase,
+            active_token = active.token.as_u64(),
+            active_reported = active.reported,
+            "task is listed by a machine while it is active on another one, it is stopped here"
         );
     }
 
-    /// Reports whether a start may still be in transit to the worker that has sent this heartbeat. A start under an older
-    /// token is void, because the worker has seen the current one.
-    fn start_in_transit(&self, heartbeat: Heartbeat, active: &TaskAttempt) -> bool {
-        if active.reported || active.token != heartbeat.report.token {
-            return false;
-        }
-        match active.route {
-            Route::Direct => {
-                let machine = self.machine(heartbeat.machine);
-                machine.commands.is_direct_in_flight()
-            }
-            Route::HeartbeatReply => !heartbeat.source.is_request(),
-        }
-    }
-
     /// Updates the phase of a live task to the one that its worker reports.
     fn update_phase(
         &mut self,
--- a/src/scheduler/machines/expiry.rs
+++ b/src/scheduler/machines/expiry.rs
@@ -3,6 +3,7 @@
 use super::machine::{Machine, MachineState};
 use crate::protocol::{JobKind, JobSpec};
 use crate::scheduler::attempt::TaskEvent;
+use crate::scheduler::gone_proof::GoneProof;
 use crate::scheduler::index::MachineIndex;
 use crate::scheduler::Scheduler;
 use crate::time::{duration_from_secs, Timestamp};
@@ -47,7 +48,7 @@
         }
         let tasks = machine.load.tasks().len();
         tracing::info!(machine = %machine.name(), tasks, "worker lease expired, tasks are gone");
-        self.drop_all_tasks(index);
+        self.drop_all_tasks(index, GoneProof::LeaseExpired);
         // A worker that returns is in a new session, and no command meant for the previous one may take effect there.
         self.advance_fencing_token(index, "lease expired");
     }
--- a/src/scheduler/machines/lifecycle.rs
+++ b/src/scheduler/machines/lifecycle.rs
@@ -3,6 +3,7 @@
 use super::machine::{Machine, MachineState};
 use super::offer::{Hardware, Offer, Origin};
 use crate::scheduler::attempt::{Phase, TaskEvent};
+use crate::scheduler::gone_proof::GoneProof;
 use crate::scheduler::index::{MachineIndex, MachineTypeIndex};
 use crate::scheduler::start_log::is_loggable_name;
 use crate::scheduler::Scheduler;
@@ -51,7 +52,7 @@
         for task in tasks {
             let active = self.attempt(task);
             if active.is_some_and(|a| a.phase == Phase::Assigned) {
-                self.apply_event(task, TaskEvent::Gone);
+                self.apply_event(task, TaskEvent::Gone(GoneProof::NeverSent));
             }
         }
     }
@@ -61,7 +62,7 @@
         let Some(index) = self.machines.index_of(name) else {
             return;
         };
-        self.drop_all_tasks(index);
+        self.drop_all_tasks(index, GoneProof::MachineReleased);
         for image in self.machine(index).images().clone() {
             self.image_holders.remove(image, index);
         }
@@ -74,9 +75,9 @@
     }
 
     /// Marks all tasks of a machine as gone.
-    pub(super) fn drop_all_tasks(&mut self, index: MachineIndex) {
+    pub(super) fn drop_all_tasks(&mut self, index: MachineIndex, proof: GoneProof) {
         for task in self.machine(index).load.tasks().clone() {
-            self.apply_event(task, TaskEvent::Gone);
+            self.apply_event(task, TaskEvent::Gone(proof));
         }
     }
 
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -9,7 +9,8 @@
 //!
 //! - jobs: `job` (a job's state), `job_progress`, `task_bitmap`, `job_table` (all jobs), `jobs` (adding and removing jobs),
 //!   `quota` (the ledger of team quotas);
-//! - tasks: `attempt` (the state machine), `task_events` (state changes and their effects);
+//! - tasks: `attempt` (the state machine), `gone_proof` (the proofs that a task is on no machine), `task_events` (state
+//!   changes and their effects);
 //! - placement: `scheduling_pass`, `queue` (the order of jobs), `candidates` (eligible machines), `unplaceable` (requests that
 //!   can't be placed in a pass); `crate::placement` selects among the candidates;
 //! - capacity: `preemption` (tasks to stop in favor of others) and `demand` (machines to rent), both based on
@@ -22,6 +23,7 @@
 mod capacity_pool;
 mod demand;
 mod fetch_rates;
+mod gone_proof;
 mod heartbeat;
 mod image_holders;
 mod index;
--- a/src/scheduler/task_events.rs
+++ b/src/scheduler/task_events.rs
@@ -1,6 +1,7 @@
 //! State changes of tasks and their effects on reserved resources, counts, commands and the start log.
 
 use super::attempt::{Phase, TaskAttempt, TaskEvent, TaskId, Transition};
+use super::gone_proof::InvalidProof;
 use super::index::MachineIndex;
 use super::Scheduler;
 
@@ -17,6 +18,7 @@
             Transition::Unchanged => return,
             Transition::To(attempt) => Some(attempt),
             Transition::Gone => None,
+            Transition::Refused(error) => return self.report_refused_event(task, event, error),
         };
         self.replace_attempt(task, old, new);
         if new.is_none() {
@@ -26,6 +28,22 @@
         self.request_follow_up(task, old, new);
     }
 
+    /// Logs an event that contradicts the state of its task. It has no effect, so that a task which may be on a machine is not
+    /// started on another one.
+    fn report_refused_event(&self, task: TaskId, event: TaskEvent, error: InvalidProof) {
+        let attempt = self.attempt(task);
+        let machine = attempt.map(|attempt| self.machine(attempt.machine).name());
+        tracing::error!(
+            job = %self.job(task.job).record.spec.id,
+            task = task.number,
+            machine,
+            ?event,
+            ?attempt,
+            %error,
+            "task is not taken for gone: the proof contradicts its state"
+        );
+    }
+
     /// Replaces a task's active attempt, and reserves or releases its resources accordingly.
     fn replace_attempt(
         &mut self,
--- a/src/scheduler/tests/cluster.rs
+++ b/src/scheduler/tests/cluster.rs
@@ -57,7 +57,11 @@
 
     /// Creates a cluster without machines, in which each team may use this many thousandths of CPUs.
     pub(super) fn with_cpu_limit(cpu_limit_milli: u64) -> Cluster {
-        let scheduler = scheduler_of_epoch(EPOCH, cpu_limit_milli, 1000);
+        Cluster::with_scheduler(scheduler_of_epoch(EPOCH, cpu_limit_milli, 1000))
+    }
+
+    /// Creates a cluster with this scheduler.
+    pub(super) fn with_scheduler(scheduler: Scheduler) -> Cluster {
         Cluster {
             scheduler,
             sequence: 0,
--- a/src/scheduler/tests/delayed_replies.rs
+++ b/src/scheduler/tests/delayed_replies.rs
@@ -1,6 +1,7 @@
 //! A start in the reply to a heartbeat while that reply is held up on its way to the worker: which events prove that the task is
 //! not there, and which do not.
 
+use super::cluster::scheduler_of_epoch;
 use super::*;
 
 /// Started tasks, each with its attempt number.
@@ -66,6 +67,17 @@
 }
 
 impl DelayedReply {
+    /// Returns a probe of n-1 under its current token.
+    fn probe(&self) -> DirectCommands {
+        let scheduler = &self.cluster.scheduler;
+        let machine = scheduler.machine(scheduler.machine_index("n-1").unwrap());
+        DirectCommands {
+            token: scheduler.token(machine),
+            commands: Vec::new(),
+            ..self.stop.clone()
+        }
+    }
+
     /// Reports whether the scheduler takes the task for gone, so that it is started again.
     fn is_taken_for_gone(&self) -> bool {
         let mut jobs = self.cluster.scheduler.jobs();
@@ -89,3 +101,114 @@
         assert!(!delayed.is_taken_for_gone(), "raises_token: {raises_token}");
     }
 }
+
+/// Guards against `ran_twice`: a probe is a direct command without commands, and its response overtakes a reply just as well.
+#[test]
+fn a_probe_response_proves_nothing_about_a_start_in_a_reply_that_raises_the_token() {
+    let mut delayed = delayed_reply(true);
+    let (probe, token) = (delayed.probe(), delayed.reply.token);
+    let response = delayed.cluster.next_status("n-1", token, &[]);
+    let scheduler = &mut delayed.cluster.scheduler;
+    scheduler.handle_direct_response(&probe, Some(&response));
+    assert!(!delayed.is_taken_for_gone());
+}
+
+/// Guards against `ran_twice`: another attempt of the task that is listed does not show that the sent one is void.
+#[test]
+fn another_attempt_in_a_direct_response_does_not_replace_a_start_in_a_reply_in_transit() {
+    for raises_token in [false, true] {
+        let mut delayed = delayed_reply(raises_token);
+        let sent = starts(&delayed.reply.commands);
+        let other = ("wk-new/0", 7, TaskState::Running, None);
+        let (stop, token) = (delayed.stop.clone(), delayed.reply.token);
+        let response = delayed.cluster.next_status("n-1", token, &[other]);
+        let scheduler = &mut delayed.cluster.scheduler;
+        scheduler.handle_direct_response(&stop, Some(&response));
+        let task = scheduler.find_task("wk-new/0").unwrap();
+        let active = scheduler.attempt(task).map(|active| active.attempt);
+        assert_eq!(active, Some(sent[0].1), "raises_token: {raises_token}");
+    }
+}
+
+/// Guards against `ran_twice`: before its next request under the raised token, a worker may still execute the reply.
+#[test]
+fn only_the_next_request_under_the_raised_token_proves_that_the_reply_was_lost() {
+    let mut delayed = delayed_reply(true);
+    delayed.cluster.heartbeat("n-1", &[]);
+    assert!(
+        !delayed.is_taken_for_gone(),
+        "a request under the old token"
+    );
+    let status = delayed.cluster.next_status("n-1", delayed.reply.token, &[]);
+    let source = HeartbeatSource::Request { may_start: true };
+    delayed.cluster.scheduler.handle_heartbeat(&status, source);
+    assert!(
+        delayed.is_taken_for_gone(),
+        "a request under the raised token"
+    );
+}
+
+/// Guards against `ran_twice`: a copy of a request from before the start is no newer than the request that got the reply.
+#[test]
+fn a_copy_of_an_earlier_request_proves_nothing_about_a_start_in_a_reply_in_transit() {
+    let mut delayed = delayed_reply(true);
+    let mut copy = delayed.cluster.next_status("n-1", delayed.reply.token, &[]);
+    copy.sequence = 1;
+    let source = HeartbeatSource::Request { may_start: true };
+    delayed.cluster.scheduler.handle_heartbeat(&copy, source);
+    assert!(!delayed.is_taken_for_gone());
+}
+
+/// Guards against `ran_twice`: without a response the token advances, and only a worker that has seen the new token ignores the
+/// reply that is still on its way.
+#[test]
+fn a_start_in_a_reply_is_void_only_for_a_worker_that_has_seen_a_later_token() {
+    let mut delayed = delayed_reply(true);
+    let stop = delayed.stop.clone();
+    delayed
+        .cluster
+        .scheduler
+        .handle_direct_response(&stop, None);
+    let probe = delayed.probe();
+    for (token, is_gone) in [(delayed.reply.token, false), (probe.token, true)] {
+        let response = delayed.cluster.next_status("n-1", token, &[]);
+        let scheduler = &mut delayed.cluster.scheduler;
+        scheduler.handle_direct_response(&probe, Some(&response));
+        assert_eq!(delayed.is_taken_for_gone(), is_gone);
+    }
+    assert!(delayed.reply.token < probe.token);
+}
+
+/// Guards against `ran_twice`: the reply renews the lease, so it may be executed until the lease has expired from its sending on.
+#[test]
+fn a_start_in_a_reply_in_transit_counts_until_the_lease_has_certainly_expired() {
+    let mut delayed = delayed_reply(true);
+    delayed.cluster.advance_to(2500 + LEASE_MS);
+    assert!(!delayed.is_taken_for_gone());
+    delayed.cluster.advance_to(2500 + LEASE_MS + 1000);
+    assert!(delayed.is_taken_for_gone());
+}
+
+/// Guards against `ran_twice`: to a new leader, a start of an earlier epoch is void only once the worker has seen the new token.
+#[test]
+fn a_start_in_a_reply_of_an_earlier_leader_is_void_only_under_the_new_token() {
+    let delayed = delayed_reply(true);
+    let sent = starts(&delayed.reply.commands);
+    let next = EPOCH.next();
+    let mut successor = Cluster::with_scheduler(scheduler_of_epoch(next, u64::MAX, 3000));
+    successor.inherit_machine("n-1");
+    successor.submit(spec("wk-new", 1), 103);
+    successor.replay(&[("n-1", "wk-new/0", sent[0].1)]);
+    let mut successor = DelayedReply {
+        cluster: successor,
+        ..delayed
+    };
+    for (token, is_gone) in [(successor.reply.token, false), (first_token(next), true)] {
+        let probe = successor.probe();
+        let response = successor.cluster.next_status("n-1", token, &[]);
+        let scheduler = &mut successor.cluster.scheduler;
+        scheduler.handle_direct_response(&probe, Some(&response));
+        assert_eq!(successor.is_taken_for_gone(), is_gone);
+    }
+    assert!(successor.reply.token < first_token(next));
+}
--- a/src/scheduler/tests/mod.rs
+++ b/src/scheduler/tests/mod.rs
@@ -5,6 +5,7 @@
 mod delayed_replies;
 mod describe;
 mod direct_commands;
+mod gone_proof;
 mod health;
 mod image_holders;
 mod large_fleets;
