The response to direct commands raises no token, since nothing answers it

Seen by callers: a task whose start was in a reply on its way started one heartbeat later than it could, and that reply did not renew the worker's lease.

Cause: the response to direct commands went through the assembly of a reply, which nobody sends. If it listed a task to be forgotten, the token was raised for that reply, and the worker then ignored replies under the token before.

Fix: only a request gets commands, so only a reply that is sent raises the token. The next request lets the worker forget.

--- a/src/scheduler/heartbeat/mod.rs
+++ b/src/scheduler/heartbeat/mod.rs
@@ -117,6 +117,11 @@
             self.stop_ended_jobs(heartbeat.report, &mut commands);
             false
         };
+        if !heartbeat.source.is_request() {
+            // Nothing answers the response to direct commands. If it raised the token for a reply that is never sent, replies
+            // under the token before would be ignored by the worker, with their starts and the renewal of its lease.
+            commands.clear();
+        }
         self.reply(heartbeat.machine, commands, may_start)
     }
 }
--- a/src/scheduler/tests/direct_commands.rs
+++ b/src/scheduler/tests/direct_commands.rs
@@ -190,3 +190,26 @@
         Some(1)
     );
 }
+
+/// Guards against starts that are lost: a raised token voids those of replies that are still on their way.
+#[test]
+fn a_direct_response_that_lists_a_forgettable_task_does_not_raise_the_token() {
+    let mut cluster = Cluster::new();
+    cluster.add_machine("n-1", "a");
+    cluster.submit(spec("wk-1", 1), 101);
+    cluster.run_round(2000);
+    let sent = cluster.scheduler.direct_commands(9);
+    let started = starts(&sent[0].commands);
+    cluster.respond(&sent[0], &as_running(&started));
+    cluster.submit(spec("wk-2", 1), 102);
+    let in_reply = starts(&cluster.heartbeat("n-1", &as_running(&started)));
+    assert_eq!(in_reply[0].0, "wk-2/0");
+    // The response to a stop of the first task overtakes that reply. Nothing answers the response, so it lets nobody forget.
+    cluster.scheduler.stop_job("wk-1");
+    let stop = cluster.scheduler.direct_commands(9).remove(0);
+    cluster.respond(&stop, &as_exited(&started, ExitReason::Stopped));
+    let machine = cluster.scheduler.machines().next().unwrap().1;
+    assert_eq!(cluster.scheduler.token(machine), first_token(EPOCH));
+    let task = cluster.scheduler.find_task("wk-2/0").unwrap();
+    assert!(cluster.scheduler.attempt(task).is_some());
+}
