A start is sent only if it is recorded under the token of its message

The check at the close of a message compared the message with the machine's token only. It now compares what is recorded of each start, which is what a later proof is drawn from, and refuses the start with an error otherwise.

--- a/src/scheduler/tests/gone_proof.rs
+++ b/src/scheduler/tests/gone_proof.rs
@@ -38,7 +38,7 @@
     assert!(cluster.scheduler.attempt(task).is_some());
 }
 
-/// Guards against `ran_twice`: a message whose token is no longer that of the machine, under which its starts are recorded.
+/// Guards against `ran_twice`: a start that is recorded under another token than the one with which its message arrives.
 #[test]
 fn a_message_whose_token_has_changed_meanwhile_starts_nothing() {
     let mut cluster = Cluster::new();
--- a/src/scheduler/tests/message_orders/mod.rs
+++ b/src/scheduler/tests/message_orders/mod.rs
@@ -1,5 +1,5 @@
 //! Messages between a leader and its workers in random orders: requests, replies, direct commands and their responses are
-//! delivered late, lost or twice, tasks end, leases expire, and leaders change. No task may run on two machines at any time.
+//! delivered late, lost or twice, tasks end, workers are cut off until their leases expire, and leaders change. No task may run on two machines at any time.
 //!
 //! The rules of a message's life are those of the protocol: a worker has one request in flight and drops a reply that it no
 //! longer waits for, and direct commands are executed as long as token and session match, however late.
@@ -32,11 +32,7 @@
             34..37 => world.send_direct_commands(),
             37 => world.send_probes(),
             38 => world.repeat_or_lose_any(rng),
-            _ => {
-                if rng.gen_bool(0.05) {
-                    world.change_leader();
-                }
-            }
+            _ => disrupt(world, rng),
         }
         world.check_proofs();
         if !world.violations.is_empty() {
@@ -45,6 +41,15 @@
     }
 }
 
+/// Changes the leader or cuts a worker off from the controllers, each with a small probability.
+fn disrupt(world: &mut World, rng: &mut StdRng) {
+    match rng.gen_range(0..20) {
+        0 => world.change_leader(),
+        1..3 => world.mute_any(rng),
+        _ => {}
+    }
+}
+
 /// Guards against `ran_twice`: a task that is taken for gone while it runs, or while a message that starts it is on its way.
 #[test]
 fn no_order_of_messages_starts_a_task_on_a_second_machine() {
--- a/src/scheduler/tests/message_orders/worker.rs
+++ b/src/scheduler/tests/message_orders/worker.rs
@@ -23,6 +23,8 @@
     session: u64,
     sequence: u64,
     lease_from_ms: u64,
+    /// Time until which the worker reaches no controller, while direct commands reach it.
+    pub(super) muted_until_ms: u64,
     pub(super) awaited: Option<Awaited>,
     /// Reason of the end of each attempt, or `None` while it runs.
     attempts: BTreeMap<AttemptKey, Option<ExitReason>>,
@@ -36,6 +38,7 @@
             session: 1,
             sequence: 0,
             lease_from_ms: now_ms,
+            muted_until_ms: 0,
             awaited: None,
             attempts: BTreeMap::new(),
         }
--- a/src/scheduler/tests/message_orders/world.rs
+++ b/src/scheduler/tests/message_orders/world.rs
@@ -11,8 +11,6 @@
 const MACHINES: usize = 3;
 /// Maximum number of jobs that are unfinished at a time.
 const MAX_JOBS: usize = 9;
-/// Probability that a reply is left for later when it could be delivered.
-const REPLY_DELAY_PROBABILITY: f64 = 0.7;
 /// Time for which a leader waits for the response to direct commands, in milliseconds.
 const RESPONSE_TIMEOUT_MS: u64 = 2000;
 /// Time between two rounds without faults, in milliseconds.
@@ -34,9 +32,10 @@
         request: u64,
         reply: HeartbeatReply,
     },
+    /// Direct commands on their way to a worker. A copy has no call that waits for its response.
     Direct {
         worker: usize,
-        call: u64,
+        call: Option<u64>,
         direct: DirectCommands,
     },
     Response {
@@ -45,6 +44,18 @@
     },
 }
 
+impl Message {
+    /// Returns the probability that the message is left for later when it could be delivered: replies so that direct commands
+    /// overtake them, copies so that they arrive when their commands have long been executed.
+    fn delay_probability(&self) -> f64 {
+        match self {
+            Message::Reply { .. } => 0.7,
+            Message::Request { request: None, .. } | Message::Direct { call: None, .. } => 0.98,
+            _ => 0.0,
+        }
+    }
+}
+
 /// Direct commands whose response the leader waits for.
 struct Call {
     direct: DirectCommands,
@@ -137,14 +148,13 @@
         }
     }
 
-    /// Delivers a random message. Replies to heartbeats are often left for later, so that direct commands overtake them.
+    /// Delivers a random message, unless it is left for later.
     pub(super) fn deliver_any(&mut self, rng: &mut StdRng) {
         if self.in_flight.is_empty() {
             return;
         }
         let position = rng.gen_range(0..self.in_flight.len());
-        let is_reply = matches!(self.in_flight[position], Message::Reply { .. });
-        if is_reply && rng.gen_bool(REPLY_DELAY_PROBABILITY) {
+        if rng.gen_bool(self.in_flight[position].delay_probability()) {
             return;
         }
         let message = self.in_flight.swap_remove(position);
@@ -184,7 +194,9 @@
                 let started = self.workers[worker].receive_direct(&direct);
                 self.check_started(worker, &started);
                 let status = self.workers[worker].status();
-                self.in_flight.push(Message::Response { call, status });
+                if let Some(call) = call {
+                    self.in_flight.push(Message::Response { call, status });
+                }
             }
             Message::Response { call, status } => self.end_call(call, Some(&status)),
         }
@@ -259,7 +271,11 @@
                 request: None,
                 status,
             }),
-            direct @ Message::Direct { .. } => self.in_flight.push(direct),
+            Message::Direct { worker, direct, .. } => self.in_flight.push(Message::Direct {
+                worker,
+                call: None,
+                direct,
+            }),
             Message::Reply { .. } | Message::Response { .. } => {
                 self.in_flight.swap_remove(position);
             }
@@ -271,8 +287,15 @@
         self.send_request_of(rng.gen_range(0..MACHINES));
     }
 
+    /// Cuts a random worker off from the controllers for up to two leases. Direct commands and their responses get through.
+    pub(super) fn mute_any(&mut self, rng: &mut StdRng) {
+        let duration_ms = rng.gen_range(0..2 * LEASE_MS);
+        self.workers[rng.gen_range(0..MACHINES)].muted_until_ms = self.now_ms + duration_ms;
+    }
+
     fn send_request_of(&mut self, worker: usize) {
-        if self.workers[worker].awaited.is_some() {
+        let is_muted = self.now_ms < self.workers[worker].muted_until_ms;
+        if is_muted || self.workers[worker].awaited.is_some() {
             return;
         }
         let request = self.next_number();
@@ -372,7 +395,7 @@
             };
             self.in_flight.push(Message::Direct {
                 worker,
-                call,
+                call: Some(call),
                 direct: direct.clone(),
             });
             let sent_at_ms = self.now_ms;
--- a/src/scheduler/worker_message.rs
+++ b/src/scheduler/worker_message.rs
@@ -2,8 +2,8 @@
 //!
 //! All commands of a message are executed under its fencing token, or none is. Whether a start may still be in transit is decided
 //! by the token under which it was sent ([`TaskAttempt::token`](super::TaskAttempt)), so that record has to be the token of the
-//! message that carries the start. Therefore the token is read once, when the message is opened, and a message whose machine
-//! has got another token since is closed without its starts.
+//! message that carries the start. Therefore the token is read once, when the message is opened, and the record is compared with
+//! it when the message is closed.
 
 use super::attempt::{Phase, Route, TaskEvent, TaskId};
 use super::index::MachineIndex;
@@ -52,30 +52,43 @@
         }
     }
 
-    /// Closes a message. The starts in it are recorded as sent under its token. If the machine has got another token since the
-    /// message was opened, that record may be taken as the proof that they are void, so they are not sent.
-    pub(super) fn close_message(&self, message: WorkerMessage) -> ClosedMessage {
-        let WorkerMessage {
-            machine,
-            token,
-            mut commands,
-            ..
-        } = message;
-        let machine = self.machine(machine);
-        let current = self.token(machine);
-        let is_start = |command: &Command| matches!(command, Command::Start { .. });
-        if token != current && commands.iter().any(is_start) {
-            let starts = commands.iter().filter(|command| is_start(command)).count();
-            tracing::error!(
-                machine = %machine.name(),
-                message_token = token.as_u64(),
-                current_token = current.as_u64(),
-                starts,
-                "fencing token changed while a message was assembled, its starts are not sent"
-            );
-            commands.retain(|command| !is_start(command));
+    /// Closes a message. A start is sent only if it is recorded under the token of the message, which is the machine's current
+    /// one. Otherwise the record may later be taken as the proof that the start is void, although the worker executes it.
+    pub(super) fn close_message(&self, mut message: WorkerMessage) -> ClosedMessage {
+        let mut commands = std::mem::take(&mut message.commands);
+        commands.retain(|command| match command {
+            Command::Start { task, attempt } => self.may_send_start(&message, task, *attempt),
+            Command::Stop { .. } | Command::Forget { .. } => true,
+        });
+        ClosedMessage {
+            token: message.token,
+            commands,
+        }
+    }
+
+    /// Reports whether a start is recorded as it is sent, and logs an error if not.
+    fn may_send_start(&self, message: &WorkerMessage, task: &str, attempt: u64) -> bool {
+        let machine = self.machine(message.machine);
+        let current_token = self.token(machine);
+        let active = self.find_task(task).and_then(|task| self.attempt(task));
+        let is_recorded = active.is_some_and(|active| {
+            active.attempt == attempt
+                && active.machine == message.machine
+                && active.token == message.token
+        });
+        if is_recorded && message.token == current_token {
+            return true;
         }
-        ClosedMessage { token, commands }
+        tracing::error!(
+            task,
+            attempt,
+            machine = %machine.name(),
+            message_token = message.token.as_u64(),
+            current_token = current_token.as_u64(),
+            recorded = ?active,
+            "start is not sent: it is not recorded under the token of its message"
+        );
+        false
     }
 
     /// Returns the name of a task in messages to workers.
