--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -184,6 +184,8 @@
     };
     // The server drops the future of a request when its connection is reset.
     assert!(poll().now_or_never().is_none());
+    // The request goes on in the controller, and counts until it ends.
+    assert_eq!(state.concurrency_limit.in_progress(), 1);
     tokio::time::sleep(MAX_POLL_DURATION).await;
     assert_eq!(state.concurrency_limit.in_progress(), 0);
     assert_ne!(poll().await.status().as_u16(), 429);
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,11 +1,12 @@
 //! One run: starts everything, troubles it, waits until it has settled, and checks the history.
 
+use crate::controllers::Controllers;
 use crate::harness::balancer::Balancer;
 use crate::harness::cloud::{CloudSettings, SimulatedCloud};
 use crate::harness::history::{Observation, Recorder};
 use crate::harness::jobs::JobRegistry;
 use crate::harness::network::Network;
-use crate::harness::process::{ControllerProcess, Launch};
+use crate::harness::process::Launch;
 use crate::harness::settings::{
     settings_file, CloudLimits, Deployment, MachineLimits, Routing, StoreLimits, Team,
     WorkerTimings,
@@ -18,11 +19,9 @@
 use crate::options::Options;
 use crate::schedule::Schedule;
 use crate::troubles::Surroundings;
-use crate::workload::{Settled, Workload, TEAMS};
+use crate::workload::{Workload, TEAMS};
 use hollowswitch::protocol::MachineType;
-use std::cell::RefCell;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -59,97 +58,11 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time without troubles at the beginning, in which the first jobs start.
 const QUIET_START: Duration = Duration::from_secs(3);
-/// Interval of checks whether a controller has ended by itself.
-const PROCESS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the last trouble within which every accepted job has to be answered.
 const ANSWER_BOUND: Duration = Duration::from_secs(75);
 /// Time after the last trouble within which every accepted job has to begin while there is room.
 const START_BOUND: Duration = Duration::from_secs(90);
 
-/// The controllers of a run. Clones share the processes.
-#[derive(Clone)]
-pub(crate) struct Controllers {
-    slots: Rc<RefCell<Vec<Slot>>>,
-    recorder: Recorder,
-}
-
-struct Slot {
-    launch: Launch,
-    /// The process, unless it was killed.
-    process: Option<ControllerProcess>,
-}
-
-impl Controllers {
-    fn start(launches: Vec<Launch>, recorder: &Recorder) -> std::io::Result<Controllers> {
-        let start = |launch: Launch| {
-            let process = ControllerProcess::start(&launch)?;
-            Ok(Slot {
-                launch,
-                process: Some(process),
-            })
-        };
-        let slots: std::io::Result<Vec<Slot>> = launches.into_iter().map(start).collect();
-        Ok(Controllers {
-            slots: Rc::new(RefCell::new(slots?)),
-            recorder: recorder.clone(),
-        })
-    }
-
-    /// Kills a controller.
-    pub(crate) fn kill(&self, controller: ControllerId) {
-        self.slots.borrow_mut()[controller.0].process = None;
-    }
-
-    /// Starts a controller that was killed.
-    pub(crate) fn start_if_killed(&self, controller: ControllerId) {
-        let slot = &mut self.slots.borrow_mut()[controller.0];
-        if slot.process.is_none() {
-            slot.process = ControllerProcess::start(&slot.launch).ok();
-        }
-    }
-
-    /// Does something with a process that runs.
-    pub(crate) fn with_process(
-        &self,
-        controller: ControllerId,
-        action: impl FnOnce(&ControllerProcess),
-    ) {
-        if let Some(process) = &self.slots.borrow()[controller.0].process {
-            action(process);
-        }
-    }
-
-    /// Waits until every controller that was killed has been started again.
-    pub(crate) async fn wait_until_all_run(&self) {
-        while self
-            .slots
-            .borrow()
-            .iter()
-            .any(|slot| slot.process.is_none())
-        {
-            sleep(PROCESS_CHECK_INTERVAL).await;
-        }
-    }
-
-    /// Records controllers that end by themselves, and starts them again. Does not return.
-    async fn watch(self) {
-        loop {
-            sleep(PROCESS_CHECK_INTERVAL).await;
-            for controller in ControllerId::all() {
-                let slot = &mut self.slots.borrow_mut()[controller.0];
-                let process = slot.process.as_mut();
-                if let Some(status) = process.and_then(ControllerProcess::exit_status) {
-                    self.recorder.record(Observation::ProcessEnded {
-                        controller,
-                        status: status.to_string(),
-                    });
-                    slot.process = ControllerProcess::start(&slot.launch).ok();
-                }
-            }
-        }
-    }
-}
-
 /// The result of a run.
 pub(crate) struct Report {
     /// The options of the run.
@@ -201,7 +114,7 @@
     recorder.record(Observation::TroublesOver);
     workload.stop_submitting();
     // Without a result, the history shows what has not settled.
-    let _settled: Result<Settled, _> = timeout(START_BOUND, workload.settle()).await;
+    let _ = timeout(START_BOUND, workload.settle()).await;
     recorder.record(Observation::RunOver);
     let history = recorder.history();
     let violations = check(&history, &workload.registry(), &bounds(&options));
--- a/tests/soak/troubles.rs
+++ b/tests/soak/troubles.rs
@@ -1,12 +1,12 @@
 //! Carries out the troubles of a schedule.
 
+use crate::controllers::Controllers;
 use crate::harness::cloud::SimulatedCloud;
 use crate::harness::network::{LinkCondition, Network};
 use crate::harness::process::ControllerProcess;
 use crate::harness::store::SimulatedStore;
 use crate::harness::topology::ControllerId;
 use crate::harness::worker::{Worker, WorkerCondition};
-use crate::run::Controllers;
 use crate::schedule::{LinkTrouble, Planned, Schedule, Target, Trouble, WorkerTrouble, Workers};
 use crate::workload::Workload;
 use hollowswitch::store::{leader_key, LeaderRecord};
--- a/tests/soak/workload.rs
+++ b/tests/soak/workload/mod.rs
@@ -1,13 +1,17 @@
 //! The users of a run: they submit jobs, ask, repeat, cancel and hang up, at all controllers.
 
+mod draws;
+mod settling;
+mod summary;
+
 use crate::harness::balancer::Balancer;
-use crate::harness::history::{Answer, Entry, Observation, Request};
-use crate::harness::jobs::{JobDescription, JobRegistry};
+use crate::harness::history::Answer;
+use crate::harness::jobs::JobRegistry;
 use crate::harness::topology::{ControllerId, CONTROLLER_COUNT};
-use crate::harness::user::{HangUp, User};
+use crate::harness::user::User;
 use crate::options::Options;
-use futures_util::stream::{self, StreamExt};
-use hollowswitch::protocol::{JobKind, JobSpec, JobState, Priority};
+use draws::draw_hang_up;
+use hollowswitch::protocol::{JobKind, JobSpec, JobState};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cell::{Cell, RefCell};
@@ -30,14 +34,8 @@
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time between two questions of a poll storm.
 const STORM_INTERVAL: Duration = Duration::from_millis(8);
-/// Number of questions at once while the run settles.
-const QUESTIONS_AT_ONCE: usize = 4;
-/// Interval of questions while the run settles.
-const SETTLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a user goes on submitting or cancelling a job.
 const PATIENCE: Duration = Duration::from_mins(1);
-/// Number of CPUs of each task.
-const TASK_CPUS: f64 = 1.0;
 /// Id of a job that nobody submits.
 const UNKNOWN_JOB: &str = "wk-999999";
 
@@ -50,9 +48,6 @@
     Cancelled,
 }
 
-/// Shows that every accepted job is known and runs, or has ended as its user wants.
-pub(crate) struct Settled;
-
 struct Shared {
     user: User,
     balancer: Balancer,
@@ -277,63 +272,6 @@
         });
     }
 
-    /// Returns the questions about every accepted job at every controller.
-    fn questions(&self) -> Vec<(String, ControllerId)> {
-        let accepted = self.0.accepted.borrow();
-        let at_all = |job: &String| {
-            let job = job.clone();
-            ControllerId::all().map(move |controller| (job.clone(), controller))
-        };
-        accepted.keys().flat_map(at_all).collect()
-    }
-
-    /// Waits until every controller says that every accepted job runs, or has ended as its user wants.
-    pub(crate) async fn settle(&self) -> Settled {
-        let mut unsettled: Vec<(String, ControllerId)> = Vec::new();
-        loop {
-            let asked = if unsettled.is_empty() {
-                self.questions()
-            } else {
-                unsettled
-            };
-            let polls = asked
-                .iter()
-                .map(|(job, controller)| self.0.user.poll(*controller, job));
-            let answers: Vec<Answer> = stream::iter(polls)
-                .buffered(QUESTIONS_AT_ONCE)
-                .collect()
-                .await;
-            unsettled = asked
-                .into_iter()
-                .zip(answers)
-                .filter(|((job, _), answer)| !self.is_settled(job, *answer))
-                .map(|(question, _)| question)
-                .collect();
-            if unsettled.is_empty() && self.0.busy_users.get() == 0 {
-                return Settled;
-            }
-            sleep(SETTLE_INTERVAL).await;
-        }
-    }
-
-    fn is_settled(&self, job: &str, answer: Answer) -> bool {
-        let wish = self.0.accepted.borrow().get(job).copied();
-        let Answer::State(state) = answer else {
-            return false;
-        };
-        match (wish, state) {
-            (Some(Wish::Cancelled), state) => state == JobState::Cancelled,
-            (_, JobState::Running | JobState::Done | JobState::Cancelled) => true,
-            // Jobs of the team at its limit wait their turn.
-            (_, JobState::Queued) => self.is_at_limit(job),
-        }
-    }
-
-    fn is_at_limit(&self, job: &str) -> bool {
-        let description = self.0.registry.job(job);
-        description.is_some_and(|description| description.spec.team == TEAMS[1].0)
-    }
-
     /// Returns the accepted jobs that shall run, in the order of their ids.
     fn wanted_jobs(&self) -> Vec<String> {
         let accepted = self.0.accepted.borrow();
@@ -349,85 +287,4 @@
         }
         healthy[random.gen_range(0..healthy.len())]
     }
-
-    /// Draws a job and uploads its description.
-    fn draw_job(&self, random: &mut StdRng) -> JobSpec {
-        let number = self.0.last_job.get() + 1;
-        self.0.last_job.set(number);
-        let is_service = random.gen_bool(0.3);
-        let tasks = match random.gen_range(0..10) {
-            0 => random.gen_range(10..30),
-            _ => random.gen_range(1..6),
-        };
-        let team = TEAMS[usize::from(random.gen_bool(0.2))].0;
-        let spec = JobSpec {
-            id: format!("wk-{number:06}"),
-            class: if is_service { "service" } else { "array" }.into(),
-            team: team.into(),
-            kind: if is_service {
-                JobKind::Service
-            } else {
-                JobKind::Array
-            },
-            priority: if is_service {
-                Priority::Production
-            } else {
-                Priority::Normal
-            },
-            tasks: if is_service { tasks.min(6) } else { tasks },
-            cpus: TASK_CPUS,
-            gpus: 0.0,
-            memory_gb: 1.0,
-            image: format!("image-{}", number % 5),
-            image_gb: 0.1,
-            machine_types: None,
-            zone: random.gen_bool(0.2).then(|| crate::run::ZONES[0].into()),
-            single_zone: false,
-            spread_zones: false,
-            spot: false,
-            run_time_estimate_s: 2.0,
-            checkpoint_interval_s: 0.0,
-            checkpoint_save_s: 0.0,
-            deadline_s: None,
-        };
-        self.0.registry.upload(JobDescription {
-            spec: spec.clone(),
-            run_time: Duration::from_millis(random.gen_range(200..6000)),
-        });
-        spec
-    }
-
-    /// Returns numbers of observations.
-    pub(crate) fn summary(&self, history: &[Entry]) -> String {
-        let count = |is_counted: &dyn Fn(&Observation) -> bool| {
-            let observations = history.iter().map(|entry| &entry.observation);
-            observations.filter(|it| is_counted(it)).count()
-        };
-        let answers = |wanted: Request, state: fn(&Answer) -> bool| {
-            count(&|it| {
-                matches!(it, Observation::Answered { request, answer, .. }
-                    if *request == wanted && state(answer))
-            })
-        };
-        let is_state = |answer: &Answer| matches!(answer, Answer::State(_));
-        let accepted = self.0.accepted.borrow();
-        let cancelled = accepted.values().filter(|wish| **wish == Wish::Cancelled);
-        format!(
-            "{} jobs accepted, {} cancelled, {} task starts, {} tasks done, {} questions answered, {} not",
-            accepted.len(),
-            cancelled.count(),
-            count(&|it| matches!(it, Observation::TaskOnMachine(_))),
-            count(&|it| matches!(it, Observation::TaskDone(_))),
-            answers(Request::Poll, is_state),
-            answers(Request::Poll, |answer| !matches!(answer, Answer::State(_))),
-        )
-    }
-}
-
-fn draw_hang_up(random: &mut StdRng) -> HangUp {
-    if random.gen_bool(0.2) {
-        HangUp::WhileSending(random.gen_range(0.0..1.0))
-    } else {
-        HangUp::WhileWaiting(Duration::from_millis(random.gen_range(0..60)))
-    }
 }
