--- a/src/controller/tests/failover.rs
+++ b/src/controller/tests/failover.rs
@@ -3,6 +3,8 @@
 //! Keys and records are literals and not built by the code under test, so that the tests also guard the takeover from a
 //! predecessor of another version.
 
+mod late_responses;
+
 use crate::config::tests::settings;
 use crate::controller::clock::Clock;
 use crate::controller::state::{
@@ -106,10 +108,18 @@
         .collect()
 }
 
-/// Returns a controller that has loaded the records, has claimed the next epoch and leads it.
+/// Returns a controller that has loaded the records, has claimed the next epoch and leads it without direct starts.
 fn new_leader(records: Vec<(&'static str, Value, u64)>) -> ControllerState {
+    new_leader_with(records, false)
+}
+
+/// Returns a controller like [`new_leader`], with direct starts or without.
+fn new_leader_with(
+    records: Vec<(&'static str, Value, u64)>,
+    direct_starts: bool,
+) -> ControllerState {
     let mut settings = settings();
-    settings.operator.direct_starts = false;
+    settings.operator.direct_starts = direct_starts;
     let clock = Clock::Scripted(Rc::new(Cell::new(10_000)));
     let mut controller = ControllerState::new(settings, 77, clock);
     let mut replica = Replica::default();
@@ -180,9 +190,9 @@
     }
 }
 
-/// Advances the clock by 100 ms, runs a scheduling round, completes the writes of the start log, and returns the commands in the
-/// reply to a heartbeat.
-fn run_round_and_reply(controller: &mut ControllerState, report: &WorkerStatus) -> Vec<Command> {
+/// Advances the clock by 100 ms, runs a scheduling round that sends nothing, and completes the writes of the start log, at
+/// revisions after this one.
+fn run_round(controller: &mut ControllerState, mut revision: u64) {
     if let Clock::Scripted(now) = controller.clock() {
         now.set(now.get() + 100);
     }
@@ -192,7 +202,6 @@
     };
     let round = controller.run_scheduling_round(limits);
     assert!(matches!(round, RoundOutcome::Send(messages) if messages.is_empty()));
-    let mut revision = 400 + report.sequence;
     while let Some(write) = controller.next_start_log_write() {
         let PreparedStartLogWrite {
             slot_write, term, ..
@@ -205,6 +214,11 @@
             None,
         );
     }
+}
+
+/// Runs a scheduling round, and returns the commands in the reply to a heartbeat.
+fn run_round_and_reply(controller: &mut ControllerState, report: &WorkerStatus) -> Vec<Command> {
+    run_round(controller, 400 + report.sequence);
     match controller.handle_heartbeat(report) {
         HeartbeatOutcome::Reply(reply) => {
             assert_eq!(
--- a/src/scheduler/tests/delayed_replies.rs
+++ b/src/scheduler/tests/delayed_replies.rs
@@ -212,3 +212,101 @@
     }
     assert!(successor.reply.token < first_token(next));
 }
+
+/// Guards against `ran_twice`: a machine that is to be released may execute the reply until the cloud has confirmed the release.
+#[test]
+fn a_start_in_a_reply_in_transit_counts_until_the_release_is_confirmed() {
+    let mut delayed = delayed_reply(true);
+    let scheduler = &mut delayed.cluster.scheduler;
+    let machine = scheduler.machine_index("n-1").unwrap();
+    scheduler.set_machine_state(machine, MachineState::Releasing, "test");
+    let (probe, token) = (delayed.probe(), delayed.reply.token);
+    let response = delayed.cluster.next_status("n-1", token, &[]);
+    let scheduler = &mut delayed.cluster.scheduler;
+    scheduler.handle_direct_response(&probe, Some(&response));
+    assert!(!delayed.is_taken_for_gone());
+    delayed.cluster.scheduler.machine_gone("n-1");
+    assert!(delayed.is_taken_for_gone());
+}
+
+/// Guards against `ran_twice`: the end of another attempt, with or without a result, is not the end of the one that was sent.
+#[test]
+fn the_end_of_another_attempt_does_not_end_a_start_in_a_reply_in_transit() {
+    for reason in [
+        ExitReason::Done,
+        ExitReason::Error,
+        ExitReason::ConflictingAttempt,
+    ] {
+        let mut delayed = delayed_reply(true);
+        let (stop, token) = (delayed.stop.clone(), delayed.reply.token);
+        let other = ("wk-new/0", 7, TaskState::Exited, Some(reason));
+        let response = delayed.cluster.next_status("n-1", token, &[other]);
+        let scheduler = &mut delayed.cluster.scheduler;
+        scheduler.handle_direct_response(&stop, Some(&response));
+        assert!(scheduler.complete_jobs().is_empty(), "{reason:?}");
+        let task = scheduler.find_task("wk-new/0").unwrap();
+        assert!(scheduler.attempt(task).is_some(), "{reason:?}");
+    }
+}
+
+/// Guards against `ran_twice`: a response that shows a later epoch ends this one and proves nothing to it.
+#[test]
+fn a_direct_response_under_a_later_epoch_proves_nothing() {
+    let mut delayed = delayed_reply(true);
+    let stop = delayed.stop.clone();
+    let later = first_token(EPOCH.next());
+    let response = delayed.cluster.next_status("n-1", later, &[]);
+    let scheduler = &mut delayed.cluster.scheduler;
+    scheduler.handle_direct_response(&stop, Some(&response));
+    assert!(!delayed.is_taken_for_gone());
+}
+
+/// Guards against `ran_twice`: in a new session the reply to the earlier one is void, but the worker has to acknowledge a token
+/// that was given after the session became known.
+#[test]
+fn a_new_session_voids_a_reply_in_transit_only_under_the_token_that_follows_it() {
+    let mut delayed = delayed_reply(true);
+    for (advances, is_gone) in [(0, false), (1, true)] {
+        let (probe, token) = (delayed.probe(), delayed.reply.token + advances);
+        let mut response = delayed.cluster.next_status("n-1", token, &[]);
+        response.session = 2;
+        let scheduler = &mut delayed.cluster.scheduler;
+        scheduler.handle_direct_response(&probe, Some(&response));
+        assert_eq!(delayed.is_taken_for_gone(), is_gone);
+    }
+}
+
+/// Guards against `ran_twice`: a write of the start log that took effect late, after its start was given up here.
+#[test]
+fn an_unanswered_log_write_names_a_place_that_a_new_leader_waits_for() {
+    let mut cluster = Cluster::new();
+    cluster.add_machine("n-1", "a");
+    cluster.submit(spec("wk-1", 1), 101);
+    cluster.scheduler.place();
+    let write = cluster.scheduler.next_log_write(8000, 60).unwrap();
+    let text = write.text.clone();
+    cluster.scheduler.log_write_failed(write, None);
+    let HeartbeatDecision::Reply(reply) = cluster.reply_without_pass("n-1") else {
+        panic!("the machine is known");
+    };
+    assert!(
+        starts(&reply.commands).is_empty(),
+        "not durable as far as known"
+    );
+    let next = EPOCH.next();
+    let mut successor = Cluster::with_scheduler(scheduler_of_epoch(next, u64::MAX, 3000));
+    successor.inherit_machine("n-1");
+    successor.submit(spec("wk-1", 1), 101);
+    let slot = StoredSlot {
+        number: 0,
+        version: Revision::new(60),
+        text: &text,
+    };
+    successor.scheduler.replay_start_log([slot].into_iter());
+    let pending = |cluster: &Cluster| cluster.scheduler.jobs().map(Job::pending).sum::<u32>();
+    assert_eq!(pending(&successor), 0);
+    let status = successor.next_status("n-1", first_token(next), &[]);
+    let source = HeartbeatSource::Request { may_start: false };
+    successor.scheduler.handle_heartbeat(&status, source);
+    assert_eq!(pending(&successor), 1);
+}
