A write refused for its size is an error of its own, logged with its facts

The log showed nothing: a 400 for any reason was reported as 'not found', as for a lease that has ended.

The client now tells a lease that has ended (its reason, or no reason and a leased write) from a refusal, which it logs with the reason, the largest key and the size in every respect that has a limit, and counts. What happens next is unchanged.

The stand-in of the state service gives its reason as CBOR, as the protocol says.

--- a/src/api/status/log.rs
+++ b/src/api/status/log.rs
@@ -43,6 +43,7 @@
         rate_limited = requests.rate_limited,
         unavailable = requests.unavailable,
         failed = requests.failed,
+        refused = requests.refused,
         loads_completed = requests.loads_completed,
         loads_failed = requests.loads_failed,
         reads_completed = reads.completed,
--- a/src/controller/store_calls.rs
+++ b/src/controller/store_calls.rs
@@ -21,7 +21,10 @@
     ) -> Result<T, StoreError> {
         if matches!(
             result,
-            Ok(_) | Err(StoreError::NotFound | StoreError::RateLimited)
+            Ok(_)
+                | Err(StoreError::NotFound
+                    | StoreError::RateLimited
+                    | StoreError::TransactionRefused(_))
         ) {
             self.update_state(ControllerState::record_store_response);
         }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -25,8 +25,8 @@
 pub use codec::{decode, encode, DecodeError};
 pub use job_validation::{is_job_id, InvalidJobSpec, TASK_LIMIT};
 pub use state_service::{
-    Change, Event, Guard, KeyValue, LeaseReply, LeaseRequest, Page, Revision, Txn, TxnReply,
-    WatchReply,
+    Change, ErrorReply, Event, Guard, KeyValue, LeaseReply, LeaseRequest, Page, Revision, Txn,
+    TxnReply, WatchReply,
 };
 pub use users::{JobKind, JobSpec, JobState, JobView, Priority};
 pub use workers::{
--- a/src/protocol/state_service.rs
+++ b/src/protocol/state_service.rs
@@ -100,6 +100,18 @@
     pub revision: Revision,
 }
 
+/// The body of a response with status 400.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorReply {
+    /// Reason. [`ErrorReply::NO_SUCH_LEASE`] is the only one that the protocol defines.
+    pub error: String,
+}
+
+impl ErrorReply {
+    /// Reason of the refusal of a transaction whose lease has ended.
+    pub const NO_SUCH_LEASE: &str = "no such lease";
+}
+
 /// A key with its value and version.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct KeyValue {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -2,10 +2,12 @@
 
 use super::metrics::{RequestKind, StoreMetrics};
 use super::records::decode_record;
-use super::{Revision, Versioned, ROOT};
+use super::size::largest_value;
+use super::{Revision, TxnSize, Versioned, ROOT};
 use crate::clients::http::{exchange, ConnectionReuse, ExchangeError, HttpRequest, HttpResponse};
 use crate::protocol::{
-    decode, encode, KeyValue, LeaseReply, LeaseRequest, Txn, TxnReply, WatchReply,
+    decode, encode, Change, ErrorReply, KeyValue, LeaseReply, LeaseRequest, Txn, TxnReply,
+    WatchReply,
 };
 use crate::time::whole_millis;
 use awc::http::{Method, StatusCode};
@@ -33,6 +35,10 @@
     /// requested changes (410).
     #[error("not found")]
     NotFound,
+    /// The service refused the transaction as too large or malformed (400) and did not execute it. The same transaction would
+    /// be refused again.
+    #[error("transaction refused: {0:?}")]
+    TransactionRefused(TxnSize),
     /// The response exceeds the size limit. Only reads return this error.
     #[error("response too large")]
     ResponseTooLarge,
@@ -122,7 +128,7 @@
     ///
     /// # Errors
     /// [`StoreError::OutcomeUnknown`] if the transaction may have been executed or may yet be, another error if it was not
-    /// executed.
+    /// executed: [`StoreError::TransactionRefused`] if it never will be, [`StoreError::NotFound`] if its lease has ended.
     pub async fn txn(&self, txn: &Txn) -> Result<TxnOutcome, StoreError> {
         let response = self
             .post(
@@ -136,11 +142,32 @@
         match (response.status, reply) {
             (StatusCode::OK, Some(reply)) => Ok(TxnOutcome::Applied(reply.revision)),
             (StatusCode::CONFLICT, Some(reply)) => Ok(TxnOutcome::Failed(reply.failed)),
-            (StatusCode::BAD_REQUEST, _) => Err(StoreError::NotFound),
+            (StatusCode::BAD_REQUEST, _) => Err(self.transaction_error(txn, &response)),
             _ => Err(UnknownOutcome::error_for(&response)),
         }
     }
 
+    /// Returns the error for a transaction that was answered with status 400, and logs and counts a refusal.
+    fn transaction_error(&self, txn: &Txn, response: &HttpResponse) -> StoreError {
+        let reply = decode::<ErrorReply>(&response.body).ok();
+        let reason = reply.as_ref().map(|reply| reply.error.as_str());
+        if is_lease_error(txn, reason) {
+            return StoreError::NotFound;
+        }
+        self.metrics.record_refused_transaction();
+        let size = TxnSize::of(txn);
+        tracing::error!(
+            reason = reason.unwrap_or_default(),
+            largest_key = largest_value(txn).map_or("", |(key, _)| key),
+            largest_value_bytes = size.largest_value,
+            changes = size.changes,
+            guards = size.guards,
+            total_bytes = size.total,
+            "transaction refused by the state service"
+        );
+        StoreError::TransactionRefused(size)
+    }
+
     /// Runs a transaction without changes as a read barrier. Returns the current revision of the service, whether or not the
     /// guards hold.
     ///
@@ -276,6 +303,16 @@
     }
 }
 
+/// Reports whether a transaction was answered with status 400 because its lease has ended. `reason` is the reason that the
+/// response gives, if it can be decoded.
+fn is_lease_error(txn: &Txn, reason: Option<&str>) -> bool {
+    let has_lease = |change: &Change| matches!(change, Change::Put { lease: Some(_), .. });
+    match reason {
+        Some(reason) => reason == ErrorReply::NO_SUCH_LEASE,
+        None => txn.apply.iter().any(has_lease),
+    }
+}
+
 /// Maps the statuses that mean the same for all calls to their errors.
 fn accept_status(response: HttpResponse) -> Result<HttpResponse, StoreError> {
     match response.status {
--- a/src/store/metrics.rs
+++ b/src/store/metrics.rs
@@ -80,6 +80,8 @@
     pub unavailable: u64,
     /// Requests without a valid response.
     pub failed: u64,
+    /// Transactions among the answered ones that the service refused as too large or malformed.
+    pub refused: u64,
     /// Replicas that were loaded.
     pub loads_completed: u64,
     /// Attempts to load a replica that were given up.
@@ -90,6 +92,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct StoreMetrics {
     requests: Family<RequestLabels, Counter>,
+    refused_transactions: Counter,
     loads: Family<LoadLabels, Counter>,
 }
 
@@ -101,6 +104,11 @@
             "Requests to the state service",
             self.requests.clone(),
         );
+        registry.register(
+            "store_transactions_refused",
+            "Transactions that the state service refused as too large or malformed",
+            self.refused_transactions.clone(),
+        );
         registry.register(
             "replica_loads",
             "Attempts to load the replica of the state service",
@@ -124,6 +132,7 @@
             rate_limited: requests(RequestOutcome::RateLimited),
             unavailable: requests(RequestOutcome::Unavailable),
             failed: requests(RequestOutcome::Failed),
+            refused: self.refused_transactions.get(),
             loads_completed: loads(LoadOutcome::Completed),
             loads_failed: loads(LoadOutcome::Failed),
         }
@@ -132,7 +141,9 @@
     /// Counts a request by its result.
     pub(super) fn record_request<T>(&self, kind: RequestKind, result: &Result<T, StoreError>) {
         let outcome = match result {
-            Ok(_) | Err(StoreError::NotFound) => RequestOutcome::Answered,
+            Ok(_) | Err(StoreError::NotFound | StoreError::TransactionRefused(_)) => {
+                RequestOutcome::Answered
+            }
             Err(StoreError::RateLimited) => RequestOutcome::RateLimited,
             Err(StoreError::Unavailable) => RequestOutcome::Unavailable,
             Err(StoreError::ResponseTooLarge | StoreError::OutcomeUnknown(_)) => {
@@ -144,6 +155,11 @@
             .inc();
     }
 
+    /// Counts a transaction that the service refused as too large or malformed.
+    pub(super) fn record_refused_transaction(&self) {
+        self.refused_transactions.inc();
+    }
+
     /// Counts an attempt to load a replica.
     pub(super) fn record_load(&self, outcome: LoadOutcome) {
         self.loads.get_or_create(&LoadLabels { outcome }).inc();
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -28,6 +28,7 @@
 mod recent_map;
 mod records;
 mod replica;
+mod size;
 #[cfg(test)]
 mod tests;
 mod transactions;
@@ -44,6 +45,7 @@
     Versioned,
 };
 pub use replica::{Replica, ReplicaChange};
+pub use size::{json_bytes, TxnSize};
 pub use transactions::{
     cancel_txn, claim_txn, complete_txn, guard, put, rental_txn, start_log_txn, submit_txn,
     LoggedJob, StartLogWrite,
--- a/tests/compat/state_service.rs
+++ b/tests/compat/state_service.rs
@@ -5,8 +5,8 @@
 };
 use ciborium::Value;
 use hollowswitch::protocol::{
-    encode, Change, Event, Guard, KeyValue, LeaseReply, LeaseRequest, Page, Revision, Txn,
-    TxnReply, WatchReply,
+    encode, Change, ErrorReply, Event, Guard, KeyValue, LeaseReply, LeaseRequest, Page, Revision,
+    Txn, TxnReply, WatchReply,
 };
 
 /// Returns a transaction with a put with a lease, a put without one, and a delete.
@@ -108,6 +108,15 @@
     assert_required::<TxnReply>(&message!({"ledger" => 1}), &["ledger"]);
 }
 
+#[test]
+fn the_reason_of_a_bad_request_is_decoded_and_encoded() {
+    let literal = message!({"error" => "no such lease"});
+    let reply = decode_value::<ErrorReply>(&literal);
+    assert_eq!(reply.error, ErrorReply::NO_SUCH_LEASE);
+    assert_eq!(encode_to_value(&reply), literal);
+    assert_required::<ErrorReply>(&literal, &["error"]);
+}
+
 fn item_message() -> Value {
     message!({"path" => "a/b", "v" => {"x" => [1, "y"]}, "stamp" => 412, "tenure" => 7})
 }
--- a/tests/harness/store/handlers.rs
+++ b/tests/harness/store/handlers.rs
@@ -8,7 +8,7 @@
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 use hollowswitch::protocol::{
-    decode, encode, LeaseReply, LeaseRequest, Revision, Txn, TxnReply, WatchReply,
+    decode, encode, ErrorReply, LeaseReply, LeaseRequest, Revision, Txn, TxnReply, WatchReply,
 };
 use serde::Deserialize;
 use std::time::{Duration, Instant};
@@ -40,6 +40,11 @@
     cbor_response(status, &TxnReply { failed, revision })
 }
 
+fn bad_request(reason: &str) -> HttpResponse {
+    let error = reason.to_string();
+    cbor_response(StatusCode::BAD_REQUEST, &ErrorReply { error })
+}
+
 /// Waits for the latency of the service and admits a request, or returns the response that refuses it.
 async fn admit(
     store: &SimulatedStore,
@@ -74,7 +79,7 @@
         Some(Committed::Failed { keys, revision }) => {
             transaction_reply(StatusCode::CONFLICT, keys, revision)
         }
-        Some(Committed::NoSuchLease) => HttpResponse::BadRequest().body("no such lease"),
+        Some(Committed::NoSuchLease) => bad_request(ErrorReply::NO_SUCH_LEASE),
         None => {
             sleep(LOST_ANSWER_TIME).await;
             HttpResponse::GatewayTimeout().finish()
