Stand-ins of the state service check the sizes that the protocol limits

Neither the stand-in of the soak and the load driver nor the store of the simulator checked the size of values and transactions, so no test could find a write that the real service refuses. Both now refuse a transaction with too many changes or guards, a value or a whole that is too large, in the form of JSON, and their limits may be changed while they run. In this commit no test lowers them.

--- a/benches/load/main.rs
+++ b/benches/load/main.rs
@@ -43,6 +43,13 @@
 /// Number of connections of a controller besides those of its workers.
 const OTHER_CONNECTIONS: usize = 200;
 
+/// Maximum size of a value in the store, in KiB.
+const VALUE_KB: f64 = 32.0;
+/// Maximum number of changes in a transaction of the store.
+const TXN_OPS: usize = 16;
+/// Number of changes that watches can catch up with.
+const WATCH_HISTORY: usize = 10_000;
+
 /// Returns the parameters of the deployment.
 fn deployment(args: &Args) -> Deployment {
     // Twice the CPUs of all machines, so that the quota limits nothing.
@@ -61,8 +68,8 @@
         state: StoreLimits {
             rps: 200.0,
             write_rps: 40.0,
-            value_kb: 32.0,
-            txn_ops: 16,
+            value_kb: VALUE_KB,
+            txn_ops: TXN_OPS,
         },
         cloud: CloudLimits {
             rps: 10.0,
@@ -79,11 +86,11 @@
 /// Starts the key-value store. Its rate is not limited, so that only the controllers limit themselves.
 fn start_store(topology: &Topology) -> std::io::Result<()> {
     let limits = Limits {
-        rps: f64::INFINITY,
-        write_rps: f64::INFINITY,
-        history: 10_000,
+        value_kb: VALUE_KB,
+        txn_ops: TXN_OPS,
+        ..Limits::NONE
     };
-    SimulatedStore::new(limits).start(topology)
+    SimulatedStore::new(limits, WATCH_HISTORY).start(topology)
 }
 
 /// Starts the cloud, which offers machines of one type.
--- a/src/controller/tests/simulation/store.rs
+++ b/src/controller/tests/simulation/store.rs
@@ -7,7 +7,8 @@
 use super::Simulation;
 use crate::protocol::{Change, Event, Guard, Txn};
 use crate::store::{
-    self, Epoch, EpochRecord, Replica, Revision, StoreError, TxnOutcome, UnknownOutcome, Versioned,
+    self, Epoch, EpochRecord, Replica, Revision, StoreError, TxnOutcome, TxnSize, UnknownOutcome,
+    Versioned,
 };
 use crate::time::Timestamp;
 use ciborium::Value;
@@ -33,9 +34,48 @@
     ttl: Duration,
 }
 
+/// Number of guards that a transaction may have for each change that it may have.
+const GUARDS_PER_CHANGE: usize = 4;
+
+/// Maximum size of a transaction in the form of JSON, in bytes.
+const MAX_TRANSACTION_BYTES: usize = 64 << 10;
+
+/// Limits on the size of transactions.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SizeLimits {
+    /// Maximum size of a value in the form of JSON, in bytes.
+    pub value_bytes: usize,
+    /// Maximum number of changes in a transaction.
+    pub changes: usize,
+}
+
+impl Default for SizeLimits {
+    /// Returns the limits in the settings of the simulated controllers.
+    fn default() -> SizeLimits {
+        SizeLimits {
+            value_bytes: 32 << 10,
+            changes: 16,
+        }
+    }
+}
+
+impl SizeLimits {
+    /// Reports whether a transaction of a size is accepted.
+    fn accept(&self, size: &TxnSize) -> bool {
+        size.changes <= self.changes
+            && size.guards <= GUARDS_PER_CHANGE * self.changes
+            && size.largest_value <= self.value_bytes
+            && size.total <= MAX_TRANSACTION_BYTES
+    }
+}
+
 /// The simulated store.
 #[derive(Default)]
 pub(crate) struct SimulatedStore {
+    /// Limits on the size of transactions, which may change at any time.
+    pub limits: SizeLimits,
+    /// Number of transactions that were refused for their size.
+    pub refused_for_size: usize,
     keys: BTreeMap<String, StoredValue>,
     events: Vec<Event>,
     revision: Revision,
@@ -245,6 +285,11 @@
         if !self.store.is_available_to(node) {
             return Err(StoreError::Unavailable);
         }
+        let size = TxnSize::of(txn);
+        if !self.store.limits.accept(&size) {
+            self.store.refused_for_size += 1;
+            return Err(StoreError::TransactionRefused(size));
+        }
         let late_write_probability = self.faults.late_write_probability;
         if late_write_probability > 0.0 && self.rng.gen_bool(late_write_probability) {
             let delay = Duration::from_millis(self.rng.gen_range(LATE_WRITE_DELAY_MS));
--- a/src/store/tests/client.rs
+++ b/src/store/tests/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// Runs a transaction against a service that answers with status 400 and this body.
-fn transact_with_bad_request(txn: Txn, body: Vec<u8>) -> StoreError {
+fn transact_with_bad_request(txn: &Txn, body: Vec<u8>) -> StoreError {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     actix::System::new().block_on(async {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -22,7 +22,7 @@
             std::future::pending::<()>().await;
         });
         StoreClient::new(crate::clients::http::http_client(1), address)
-            .txn(&txn)
+            .txn(txn)
             .await
             .unwrap_err()
     })
@@ -50,12 +50,12 @@
     let too_large = encode(&ErrorReply {
         error: "too large".into(),
     });
-    let refused = transact_with_bad_request(write_with_lease(None), too_large.clone());
+    let refused = transact_with_bad_request(&write_with_lease(None), too_large.clone());
     assert_eq!(refused, StoreError::TransactionRefused(size));
-    let without_reason = transact_with_bad_request(write_with_lease(None), Vec::new());
+    let without_reason = transact_with_bad_request(&write_with_lease(None), Vec::new());
     assert_eq!(without_reason, StoreError::TransactionRefused(size));
     // The lease is not the reason, although the transaction has one.
-    let leased = transact_with_bad_request(write_with_lease(Some(7)), too_large);
+    let leased = transact_with_bad_request(&write_with_lease(Some(7)), too_large);
     assert!(matches!(leased, StoreError::TransactionRefused(_)));
 }
 
@@ -64,9 +64,9 @@
     let ended = encode(&ErrorReply {
         error: ErrorReply::NO_SUCH_LEASE.into(),
     });
-    let refused = transact_with_bad_request(write_with_lease(Some(7)), ended);
+    let refused = transact_with_bad_request(&write_with_lease(Some(7)), ended);
     assert_eq!(refused, StoreError::NotFound);
-    let without_reason = transact_with_bad_request(write_with_lease(Some(7)), Vec::new());
+    let without_reason = transact_with_bad_request(&write_with_lease(Some(7)), Vec::new());
     assert_eq!(without_reason, StoreError::NotFound);
 }
 
--- a/tests/harness/rate_limit.rs
+++ b/tests/harness/rate_limit.rs
@@ -6,7 +6,8 @@
 #[derive(Debug)]
 pub(crate) struct RateLimit {
     per_second: f64,
-    burst: f64,
+    /// Time whose worth of tokens a burst may take, in seconds.
+    burst_s: f64,
     tokens: f64,
     refilled_at: Instant,
 }
@@ -14,20 +15,31 @@
 impl RateLimit {
     /// Creates a limit of `per_second` with bursts worth `burst_s` seconds.
     pub(crate) fn new(per_second: f64, burst_s: f64) -> RateLimit {
-        let burst = (per_second * burst_s).max(1.0);
-        RateLimit {
+        let mut limit = RateLimit {
             per_second,
-            burst,
-            tokens: burst,
+            burst_s,
+            tokens: 0.0,
             refilled_at: Instant::now(),
-        }
+        };
+        limit.tokens = limit.burst();
+        limit
+    }
+
+    /// Changes the rate.
+    pub(crate) fn set_rate(&mut self, per_second: f64) {
+        self.per_second = per_second;
+    }
+
+    /// Returns the number of tokens that a burst may take.
+    fn burst(&self) -> f64 {
+        (self.per_second * self.burst_s).max(1.0)
     }
 
     /// Takes `count` tokens, if there are as many.
     pub(crate) fn try_take(&mut self, count: usize) -> bool {
         let now = Instant::now();
         let elapsed_s = now.duration_since(self.refilled_at).as_secs_f64();
-        self.tokens = (self.tokens + elapsed_s * self.per_second).min(self.burst);
+        self.tokens = (self.tokens + elapsed_s * self.per_second).min(self.burst());
         self.refilled_at = now;
         let is_allowed = self.tokens >= count as f64;
         if is_allowed {
--- a/tests/harness/store/handlers.rs
+++ b/tests/harness/store/handlers.rs
@@ -72,6 +72,9 @@
     if let Err(refused) = admit(&store, **controller, txn.apply.len()).await {
         return refused;
     }
+    if let Err(limit) = store.check_size(&txn) {
+        return bad_request(&format!("too large: {limit:?}"));
+    }
     match store.commit(txn) {
         Some(Committed::Applied(revision)) => {
             transaction_reply(StatusCode::OK, Vec::new(), revision)
--- a/tests/harness/store/limits.rs
+++ b/tests/harness/store/limits.rs
@@ -2,24 +2,86 @@
 
 use crate::harness::rate_limit::RateLimit;
 use crate::harness::topology::{ControllerId, CONTROLLER_COUNT};
+use hollowswitch::protocol::{Change, Txn};
+use serde::Serialize;
 use std::time::{Duration, Instant};
 
 /// Bursts of one second's worth of requests are allowed.
 const BURST_S: f64 = 1.0;
 
-/// The limits of the service.
-#[derive(Debug, Clone, Copy)]
+/// Number of guards that a transaction may have for each change that it may have.
+const GUARDS_PER_CHANGE: usize = 4;
+/// Maximum size of a transaction, in bytes.
+const MAX_TRANSACTION_BYTES: usize = 64 << 10;
+/// Size of a KiB, in bytes.
+const KIB: f64 = 1024.0;
+
+/// The limits of the service, which may change while it runs. Sizes are measured in the form of JSON.
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Limits {
     /// Requests per second.
     pub(crate) rps: f64,
     /// Changes per second.
     pub(crate) write_rps: f64,
-    /// Number of changes that watches can catch up with.
-    pub(crate) history: usize,
+    /// Maximum size of a value, in KiB.
+    pub(crate) value_kb: f64,
+    /// Maximum number of changes in a transaction.
+    pub(crate) txn_ops: usize,
+}
+
+impl Limits {
+    /// Limits that refuse nothing.
+    pub(crate) const NONE: Limits = Limits {
+        rps: f64::INFINITY,
+        write_rps: f64::INFINITY,
+        value_kb: f64::INFINITY,
+        txn_ops: usize::MAX,
+    };
+
+    /// Returns the limit on the size of transactions that a transaction exceeds, if there is one.
+    fn exceeded_by(&self, txn: &Txn) -> Option<ExceededLimit> {
+        let is_too_large = |change: &Change| match change {
+            Change::Put { value, .. } => json_bytes(value) as f64 > self.value_kb * KIB,
+            Change::Delete { .. } => false,
+        };
+        if txn.apply.len() > self.txn_ops {
+            Some(ExceededLimit::Changes)
+        } else if txn.guards.len() > self.txn_ops.saturating_mul(GUARDS_PER_CHANGE) {
+            Some(ExceededLimit::Guards)
+        } else if txn.apply.iter().any(is_too_large) {
+            Some(ExceededLimit::ValueBytes)
+        } else if json_bytes(txn) > MAX_TRANSACTION_BYTES {
+            Some(ExceededLimit::TransactionBytes)
+        } else {
+            None
+        }
+    }
+}
+
+/// A limit on the size of transactions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ExceededLimit {
+    /// The number of changes.
+    Changes,
+    /// The number of guards.
+    Guards,
+    /// The size of a value.
+    ValueBytes,
+    /// The size of the whole transaction.
+    TransactionBytes,
 }
 
-/// Rate limits and troubles. Each trouble ends by itself.
+/// Returns the size of a message in the form of JSON, in bytes.
+fn json_bytes(message: &impl Serialize) -> usize {
+    let json =
+        serde_json::to_vec(message).expect("messages of the protocol can be written as JSON");
+    json.len()
+}
+
+/// Limits and troubles. Each trouble ends by itself.
 pub(crate) struct Troubles {
+    limits: Limits,
+    refused_for_size: u64,
     requests: RateLimit,
     changes: RateLimit,
     outage_until: Instant,
@@ -59,6 +121,8 @@
     pub(crate) fn new(limits: Limits) -> Troubles {
         let now = Instant::now();
         Troubles {
+            limits,
+            refused_for_size: 0,
             requests: RateLimit::new(limits.rps, BURST_S),
             changes: RateLimit::new(limits.write_rps, BURST_S),
             outage_until: now,
@@ -72,6 +136,18 @@
         }
     }
 
+    /// Changes the limits from now on. What is stored stays readable.
+    pub(crate) fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+        self.requests.set_rate(limits.rps);
+        self.changes.set_rate(limits.write_rps);
+    }
+
+    /// Returns the number of transactions that were refused for their size.
+    pub(crate) fn refused_for_size(&self) -> u64 {
+        self.refused_for_size
+    }
+
     /// Refuses all controllers for some time.
     pub(crate) fn start_outage(&mut self, duration: Duration) {
         self.outage_until = self.outage_until.max(Instant::now() + duration);
@@ -137,6 +213,13 @@
         }
     }
 
+    /// Checks the size of a transaction.
+    pub(crate) fn check_size(&mut self, txn: &Txn) -> Result<(), ExceededLimit> {
+        let exceeded = self.limits.exceeded_by(txn);
+        self.refused_for_size += u64::from(exceeded.is_some());
+        exceeded.map_or(Ok(()), Err)
+    }
+
     /// Returns what happens to the next transaction, if it is lost.
     pub(crate) fn next_loss(&mut self) -> Option<TransactionLoss> {
         if Instant::now() >= self.lossy_until {
--- a/tests/harness/store/mod.rs
+++ b/tests/harness/store/mod.rs
@@ -1,11 +1,11 @@
 //! A simulated state service: an in-memory key-value store that speaks its protocol, with leases that expire, watches with a
-//! bounded history, and rate limits. Each controller has an address of its own, by which the service tells them apart.
+//! bounded history, and limits on rates and sizes that may change while it runs. Each controller has an address of its own, by which the service tells them apart.
 
 mod content;
 mod handlers;
 mod limits;
 
-pub(crate) use limits::{Limits, TransactionLoss};
+pub(crate) use limits::{ExceededLimit, Limits, TransactionLoss};
 
 use crate::harness::history::lock;
 use crate::harness::topology::{ControllerId, Topology};
@@ -31,10 +31,10 @@
 }
 
 impl SimulatedStore {
-    /// Creates an empty store.
-    pub(crate) fn new(limits: Limits) -> SimulatedStore {
+    /// Creates an empty store whose watches can catch up with `history` changes.
+    pub(crate) fn new(limits: Limits, history: usize) -> SimulatedStore {
         SimulatedStore {
-            content: Arc::new(Mutex::new(Content::new(limits.history))),
+            content: Arc::new(Mutex::new(Content::new(history))),
             troubles: Arc::new(Mutex::new(Troubles::new(limits))),
             changed: Arc::new(watch::channel(Revision::ZERO).0),
         }
@@ -107,6 +107,16 @@
         lock(&self.troubles).admit(controller, changes)
     }
 
+    /// Checks the size of a transaction.
+    fn check_size(&self, txn: &Txn) -> Result<(), ExceededLimit> {
+        lock(&self.troubles).check_size(txn)
+    }
+
+    /// Returns the number of transactions that were refused for their size.
+    pub(crate) fn refused_for_size(&self) -> u64 {
+        lock(&self.troubles).refused_for_size()
+    }
+
     fn unavailable_until(&self, controller: ControllerId) -> Instant {
         lock(&self.troubles).unavailable_until(controller)
     }
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -136,11 +136,13 @@
     recorder: &Recorder,
 ) -> std::io::Result<Surroundings> {
     let registry = JobRegistry::default();
-    let store = SimulatedStore::new(Limits {
+    let limits = Limits {
         rps: STORE_LIMITS.rps,
         write_rps: STORE_LIMITS.write_rps,
-        history: HISTORY,
-    });
+        value_kb: STORE_LIMITS.value_kb,
+        txn_ops: STORE_LIMITS.txn_ops,
+    };
+    let store = SimulatedStore::new(limits, HISTORY);
     store.start(topology)?;
     let workers = WorkerSettings {
         controllers: ControllerId::all()
