The start log keeps to the limits of the state service, also to announced and lowered ones

Cause: slots were sized by value_kb as it is at the start, state.next was not read, and a slot was chosen by an estimate of 48 bytes an entry. A slot that had grown beyond the new limit was chosen again for each write, refused each time, its entries were queued again and the same text was sent about nine times a second. Starts are sent only once they are logged, so none was sent. Services keep their entries, so nothing ended it.

Evidence: the log line of: 811 times key starts/0, 2,608 bytes, 1 change, 5 guards, total 2,901 bytes.

Fix: store::WriteLimits is the one place that knows the limits in force. It takes the lower of the present and the announced ones (the moment of the change is not announced), and is lowered by refusals that the known limits don't explain, for settings without next. Sizes, batches and rates are taken from it. A slot is chosen by the text that it keeps, so one that was written under higher limits is left alone until it has shrunk, and entries are added by their size. A leader whose refused transaction would be built the same again waits 5 s.

Tests that failed before: accepted_jobs_start_after_the_state_service_has_lowered_its_limits, a_leader_that_begins_after_the_limits_were_lowered_starts_jobs, a_slot_holds_no_more_than_ the_limit_however_long_the_names_are (with long names the estimate chose a slot without space, and starts waited at any limit), a_slot_beyond_a_lowered_limit_is_left_alone..., an_entry_larger_than_the_limit_is_written_alone. New besides: no_write_exceeds_limits_that_ the_settings_announce, tests of WriteLimits and of the settings.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -14,8 +14,8 @@
 pub use error::{ConfigError, InvalidValue, Problem};
 pub use operator::OperatorSettings;
 pub use platform::{
-    CloudLimits, Deployment, ExternalServices, MachineLimits, Objective, Peer, PlatformSettings,
-    StateLimits, Team, WorkerTimings,
+    CloudLimits, Deployment, ExternalServices, MachineLimits, NextStateLimits, Objective, Peer,
+    PlatformSettings, StateLimits, Team, WorkerTimings,
 };
 
 use crate::time::duration_from_secs;
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -136,6 +136,38 @@
     pub value_kb: f64,
     /// Maximum number of changes in a transaction.
     pub txn_ops: usize,
+    /// Limits that the state service will have from some later moment, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+impl StateLimits {
+    /// Returns the limits that hold both now and after the announced change: the lower of each pair.
+    #[must_use]
+    pub fn lowest(&self) -> StateLimits {
+        let next = self.next.unwrap_or_default();
+        let lower = |now: f64, next: Option<f64>| next.map_or(now, |next| now.min(next));
+        StateLimits {
+            rps: lower(self.rps, next.rps),
+            write_rps: lower(self.write_rps, next.write_rps),
+            value_kb: lower(self.value_kb, next.value_kb),
+            txn_ops: self.txn_ops.min(next.txn_ops.unwrap_or(self.txn_ops)),
+            next: None,
+        }
+    }
+}
+
+/// Announced limits of the state service. One that is not given stays as it is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
+pub struct NextStateLimits {
+    /// Maximum number of requests per second.
+    pub rps: Option<f64>,
+    /// Maximum number of changes per second.
+    pub write_rps: Option<f64>,
+    /// Maximum size of a value, in KiB.
+    pub value_kb: Option<f64>,
+    /// Maximum number of changes in a transaction.
+    pub txn_ops: Option<usize>,
 }
 
 /// Limits of the cloud, shared by all controllers.
--- a/src/config/tests.rs
+++ b/src/config/tests.rs
@@ -93,3 +93,32 @@
     assert!(limits(Some(46.0), 10_000) < 46 * 1024 / 26);
     assert_eq!(limits(Some(0.0), 1000), 8);
 }
+
+#[test]
+fn announced_limits_of_the_state_service_are_read_and_checked() {
+    let with_next = |next: &str| {
+        let text = PLATFORM_TOML.replace(
+            "[deployment.cloud]",
+            &format!("[deployment.state.next]\n{next}\n[deployment.cloud]"),
+        );
+        Settings {
+            platform: toml::from_str(&text).unwrap(),
+            operator: OperatorSettings::default(),
+        }
+    };
+    let validate = |settings: &Settings| settings.validate(Path::new("p"), Path::new("o"));
+    let complete = with_next("rps = 200.0\nwrite_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 5");
+    assert!(validate(&complete).is_ok());
+    let lowest = complete.platform.deployment.state.lowest();
+    assert_eq!((lowest.rps, lowest.write_rps), (200.0, 28.0));
+    assert_eq!((lowest.value_kb, lowest.txn_ops), (2.0, 5));
+    assert!(validate(&with_next("value_kb = 2.0\nsurprise = 1")).is_ok());
+    for (next, field) in [
+        ("txn_ops = 2", "deployment.state.next.txn_ops"),
+        ("value_kb = 0.0", "deployment.state.next.value_kb"),
+        ("write_rps = -1.0", "deployment.state.next.write_rps"),
+    ] {
+        let error = validate(&with_next(next)).unwrap_err().to_string();
+        assert!(error.contains(field), "{error}");
+    }
+}
--- a/src/config/validation.rs
+++ b/src/config/validation.rs
@@ -1,13 +1,15 @@
 //! Validation of the settings. Errors name a field by its path in the file.
 
 use super::{
-    CloudLimits, Deployment, InvalidValue, OperatorSettings, PlatformSettings, Problem,
-    StateLimits, Team, WorkerTimings,
+    CloudLimits, Deployment, InvalidValue, NextStateLimits, OperatorSettings, PlatformSettings,
+    Problem, StateLimits, Team, WorkerTimings,
 };
 use std::ops::RangeInclusive;
 
 /// Minimum of the limit on changes per transaction. Transactions of the leader need this many changes.
 const MIN_TRANSACTION_CHANGES: usize = 4;
+/// Minimum of the announced limit on changes per transaction, which a cancellation needs.
+const MIN_ANNOUNCED_TRANSACTION_CHANGES: usize = 3;
 /// Allowed range of the time to live of the leader lease, in seconds.
 const LEADER_LEASE_RANGE_S: RangeInclusive<f64> = 0.5..=60.0;
 
@@ -57,6 +59,26 @@
             self.txn_ops >= MIN_TRANSACTION_CHANGES,
             "deployment.state.txn_ops",
             Problem::TooFewChanges,
+        )?;
+        self.next.map_or(Ok(()), NextStateLimits::validate)
+    }
+}
+
+impl NextStateLimits {
+    fn validate(self) -> Result<(), InvalidValue> {
+        let fields = [
+            (self.rps, "deployment.state.next.rps"),
+            (self.write_rps, "deployment.state.next.write_rps"),
+            (self.value_kb, "deployment.state.next.value_kb"),
+        ];
+        for (value, field) in fields {
+            value.map_or(Ok(()), |value| ensure_positive(value, field))?;
+        }
+        let enough_changes = |changes| changes >= MIN_ANNOUNCED_TRANSACTION_CHANGES;
+        ensure(
+            self.txn_ops.is_none_or(enough_changes),
+            "deployment.state.next.txn_ops",
+            Problem::TooFewChanges,
         )
     }
 }
--- a/src/controller/start_log_loop.rs
+++ b/src/controller/start_log_loop.rs
@@ -8,10 +8,9 @@
 impl Handles {
     /// Writes the start log one append at a time, so that entries are written in the order of the assignments.
     pub(super) async fn run_start_log_loop(self) {
-        let write_rps =
-            self.read_state(|state| state.settings().platform.deployment.state.write_rps);
+        let changes_per_s = self.read_state(|state| state.write_limits().changes_per_s());
         // Start-log writes may use a quarter of the store's rate of changes.
-        let interval = duration_from_millis(4.0 * 1000.0 / write_rps);
+        let interval = duration_from_millis(4.0 * 1000.0 / changes_per_s);
         loop {
             self.start_log_requested.notified().await;
             let Some(write) = self.update_state(ControllerState::next_start_log_write) else {
@@ -25,7 +24,11 @@
             let outcome = self.leader_transaction(&txn).await;
             let slot = match outcome {
                 Ok(TxnOutcome::Applied(_))
-                | Err(StoreError::RateLimited | StoreError::Unavailable) => None,
+                | Err(
+                    StoreError::RateLimited
+                    | StoreError::Unavailable
+                    | StoreError::TransactionRefused(_),
+                ) => None,
                 // This write, or an earlier one that was not answered, may have been applied: read the slot to find out.
                 _ => self.read_start_log_slot(slot_write.slot).await,
             };
--- a/src/controller/state.rs
+++ b/src/controller/state.rs
@@ -26,6 +26,7 @@
 mod store_contact;
 #[cfg(test)]
 mod test_access;
+mod write_limits;
 
 pub(super) use durable_writes::FLUSH_INTERVAL;
 pub(super) use epoch_start::EpochClaim;
@@ -36,6 +37,7 @@
 pub(super) use round_timing::MIN_ROUND_INTERVAL;
 pub(super) use scheduling_round::{RoundOutcome, SendLimits, StepDownReason};
 pub(super) use start_log::PreparedStartLogWrite;
+pub(super) use write_limits::AfterRefusal;
 
 use self::leader_report::LeaderReport;
 use self::leadership_status::LeadershipStatus;
@@ -52,7 +54,7 @@
 use crate::coordination::peers::PeerHealth;
 use crate::protocol::MachineType;
 use crate::scheduler::Scheduler;
-use crate::store::{LeaderRecord, Replica};
+use crate::store::{LeaderRecord, Replica, WriteLimits};
 use crate::time::Timestamp;
 
 /// The state of one controller process, shared by its loops and message handlers.
@@ -65,6 +67,7 @@
     /// The scheduler, which exists while this controller leads and has read the store.
     scheduler: Option<Scheduler>,
     store_contact: StoreContact,
+    write_limits: WriteLimits,
     request_limits: RequestLimits,
     round_deadlines: RoundDeadlines,
     pause_detector: PauseDetector,
@@ -91,8 +94,10 @@
         let lease_ttl = settings.operator.leader_lease();
         let grace_period = settings.grace_period();
         let leadership = Leadership::new(lease_ttl, grace_period);
+        let write_limits = WriteLimits::new(&settings.platform.deployment.state);
         ControllerState {
-            request_limits: RequestLimits::new(&settings),
+            request_limits: RequestLimits::new(&settings, &write_limits),
+            write_limits,
             settings,
             clock,
             replica: Replica::default(),
--- a/src/controller/state/durable_writes.rs
+++ b/src/controller/state/durable_writes.rs
@@ -60,9 +60,9 @@
         reason = "float to integer casts saturate, which is what is wanted"
     )]
     fn max_batch_changes(&self) -> usize {
-        let limits = &self.settings.platform.deployment.state;
-        let per_round = limits.write_rps * FLUSH_INTERVAL.as_secs_f64() * BATCH_CHANGE_SHARE;
-        (per_round as usize).clamp(1, limits.txn_ops)
+        let limits = &self.write_limits;
+        let per_round = limits.changes_per_s() * FLUSH_INTERVAL.as_secs_f64() * BATCH_CHANGE_SHARE;
+        (per_round as usize).clamp(1, limits.changes())
     }
 
     /// Returns complete jobs to be made final, at most [`MAX_COMPLETIONS_PER_ROUND`] of them.
--- a/src/controller/state/peer_views.rs
+++ b/src/controller/state/peer_views.rs
@@ -82,9 +82,8 @@
             Some(_) => Some(self.request_limits.own_change_rate(now)),
             None => self.leader_report.change_rate(now),
         };
-        let platform = &self.settings.platform;
-        let controllers = platform.peers.len() + 1;
-        let write_rps = platform.deployment.state.write_rps;
-        max_user_change_rate(write_rps, controllers, leader_changes_per_s)
+        let controllers = self.settings.platform.peers.len() + 1;
+        let changes_per_s = self.write_limits.changes_per_s();
+        max_user_change_rate(changes_per_s, controllers, leader_changes_per_s)
     }
 }
--- a/src/controller/state/request_limits.rs
+++ b/src/controller/state/request_limits.rs
@@ -4,7 +4,7 @@
 use crate::admission::rate::{RateMeter, TokenBucket};
 use crate::admission::write_admission::{max_user_change_rate, WriteAdmission};
 use crate::config::Settings;
-use crate::store::{StoreError, TxnOutcome};
+use crate::store::{StoreError, TxnOutcome, WriteLimits};
 use crate::time::Timestamp;
 use std::time::Duration;
 
@@ -30,12 +30,12 @@
 }
 
 impl RequestLimits {
-    /// Creates the limits of one controller from the rates in the settings.
-    pub(super) fn new(settings: &Settings) -> RequestLimits {
+    /// Creates the limits of one controller from the rates of the services.
+    pub(super) fn new(settings: &Settings, write_limits: &WriteLimits) -> RequestLimits {
         let deployment = &settings.platform.deployment;
         let controllers = settings.platform.peers.len() + 1;
-        let user_changes = max_user_change_rate(deployment.state.write_rps, controllers, None);
-        let user_reads = deployment.state.rps * USER_READ_SHARE / controllers as f64;
+        let user_changes = max_user_change_rate(write_limits.changes_per_s(), controllers, None);
+        let user_reads = write_limits.requests_per_s() * USER_READ_SHARE / controllers as f64;
         let cloud_calls = deployment.cloud.rps * CLOUD_REQUEST_SHARE;
         RequestLimits {
             user_changes: WriteAdmission::new(user_changes),
@@ -123,6 +123,10 @@
         match outcome {
             Err(StoreError::RateLimited) => self.request_limits.record_user_changes_throttled(),
             Ok(_) => self.request_limits.record_user_changes_accepted(),
+            Err(StoreError::TransactionRefused(size)) => {
+                // Users' transactions are not repeated, except by users, who are told why.
+                let _ = self.record_refused_transaction(size);
+            }
             // Other failures do not depend on the rate.
             Err(_) => {}
         }
--- a/src/controller/state/start_log.rs
+++ b/src/controller/state/start_log.rs
@@ -6,14 +6,16 @@
 use crate::scheduler::SlotWrite;
 use crate::store::{self, guard, StoreError, TxnOutcome, Versioned};
 
-/// Maximum size of a request to the store, in bytes.
-const MAX_REQUEST_BYTES: usize = 60 << 10;
 /// Upper bound of the size of one guard of a transaction, in bytes.
 const BYTES_PER_GUARD: usize = 100;
 /// Maximum number of guards on jobs in one write.
 const MAX_JOB_GUARDS: usize = 100;
+/// Number of other guards: on the epoch and on the slot.
+const OTHER_GUARDS: usize = 2;
 /// Bytes reserved for the quotes around the value and for the remainder of the transaction.
 const VALUE_OVERHEAD_BYTES: usize = 64;
+/// Bytes reserved for the remainder of the transaction.
+const TRANSACTION_OVERHEAD_BYTES: usize = 4 << 10;
 
 /// A write of the start log.
 pub(in crate::controller) struct PreparedStartLogWrite {
@@ -29,12 +31,15 @@
     /// Returns the next write of the start log, if there are unwritten starts and this controller may start tasks.
     pub(in crate::controller) fn next_start_log_write(&mut self) -> Option<PreparedStartLogWrite> {
         let term = self.term_with_full_authority()?;
-        let limits = &self.settings.platform.deployment.state;
-        // The store allows four guards for each change that a transaction may have. Two guards are used for the epoch and the
-        // slot.
-        let max_job_guards = (4 * limits.txn_ops - 2).min(MAX_JOB_GUARDS);
-        let max_bytes = kib_to_bytes(limits.value_kb)
-            .min(MAX_REQUEST_BYTES - BYTES_PER_GUARD * max_job_guards)
+        let limits = &self.write_limits;
+        let max_job_guards = (limits.guards() - OTHER_GUARDS).min(MAX_JOB_GUARDS);
+        let max_bytes = limits
+            .value_bytes()
+            .min(
+                limits.transaction_bytes()
+                    - TRANSACTION_OVERHEAD_BYTES
+                    - BYTES_PER_GUARD * max_job_guards,
+            )
             .saturating_sub(VALUE_OVERHEAD_BYTES);
         let slot_write = self
             .scheduler
@@ -87,12 +92,3 @@
         self.term().filter(|_| self.authority() == Authority::Full)
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "float to integer casts saturate, which is what is wanted"
-)]
-fn kib_to_bytes(kib: f64) -> usize {
-    (kib * 1024.0) as usize
-}
--- a/src/controller/store_calls.rs
+++ b/src/controller/store_calls.rs
@@ -1,9 +1,9 @@
 //! Store calls: tracking of the store's reachability, and retries of the leader's transactions.
 
 use super::handles::Handles;
-use super::state::ControllerState;
+use super::state::{AfterRefusal, ControllerState};
 use crate::protocol::Txn;
-use crate::store::{StoreError, TxnOutcome};
+use crate::store::{StoreError, TxnOutcome, TxnSize};
 use rand::Rng;
 use std::ops::Range;
 use std::time::Duration;
@@ -12,6 +12,8 @@
 const RETRY_LIMIT: u32 = 6;
 /// Range of the random delay before a retry, in milliseconds.
 const RETRY_DELAY_MS: Range<u64> = 40..160;
+/// Delay of a loop of the leader whose transaction was refused for its size and would be built the same again.
+const REFUSED_RETRY_DELAY: Duration = Duration::from_secs(5);
 
 impl Handles {
     /// Records that the store is reachable if the result shows that it has responded, and returns the result unchanged.
@@ -32,11 +34,17 @@
     }
 
     /// Runs a transaction of the leader, retrying while the store rejects it for exceeding the request rate.
+    ///
+    /// If the store refuses it for its size, the known limits are lowered, to which the caller builds its next transaction. Where
+    /// that would be the same one, the error is returned after a delay.
     pub(super) async fn leader_transaction(&self, txn: &Txn) -> Result<TxnOutcome, StoreError> {
         let mut retries = 0;
         loop {
             self.update_state(|state| state.record_own_changes(txn.apply.len()));
             let result = self.record_store_response(self.store.txn(txn).await);
+            if let Err(StoreError::TransactionRefused(size)) = &result {
+                self.delay_repetition(size).await;
+            }
             if result != Err(StoreError::RateLimited) || retries == RETRY_LIMIT {
                 return result;
             }
@@ -45,4 +53,12 @@
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
     }
+
+    /// Records that the store has refused a transaction for its size, and waits if the next one would be the same.
+    async fn delay_repetition(&self, size: &TxnSize) {
+        let next = self.update_state(|state| state.record_refused_transaction(size));
+        if next == AfterRefusal::WouldRepeat {
+            tokio::time::sleep(REFUSED_RETRY_DELAY).await;
+        }
+    }
 }
--- a/src/controller/tests/fault_combinations/mod.rs
+++ b/src/controller/tests/fault_combinations/mod.rs
@@ -7,6 +7,7 @@
 mod delayed_starts;
 mod failovers;
 mod late_writes;
+mod lowered_limits;
 mod partitions;
 mod stale_messages;
 mod store_refusals;
--- a/src/controller/tests/simulation/cluster/mod.rs
+++ b/src/controller/tests/simulation/cluster/mod.rs
@@ -7,7 +7,7 @@
 mod writes;
 
 use super::cloud::machine_type;
-use super::{Simulation, NODES};
+use super::{Deployment, Simulation, NODES};
 use crate::config::{Peer, Settings};
 use crate::controller::clock::Clock;
 use crate::controller::state::ControllerState;
@@ -86,7 +86,7 @@
     name.strip_prefix("drover-")?.parse().ok()
 }
 
-fn settings(node: usize, team_cpu_limit: Option<f64>) -> Settings {
+fn settings(node: usize, deployment: Deployment) -> Settings {
     let mut settings = crate::config::tests::settings();
     let peer = |peer| Peer {
         node: node_name(peer),
@@ -94,7 +94,8 @@
     };
     settings.platform.node = node_name(node);
     settings.platform.peers = (0..NODES).filter(|n| *n != node).map(peer).collect();
-    settings.platform.deployment.teams[0].cpus_max = team_cpu_limit.unwrap_or(0.0);
+    settings.platform.deployment.teams[0].cpus_max = deployment.team_cpu_limit.unwrap_or(0.0);
+    settings.platform.deployment.state.next = deployment.next_limits;
     settings
 }
 
@@ -122,7 +123,7 @@
     /// Starts the process of a controller with a replica read from the store.
     fn start_process(&mut self, node: usize) {
         let mut controller = ControllerState::new(
-            settings(node, self.team_cpu_limit),
+            settings(node, self.deployment),
             self.now().as_millis() + 1,
             Clock::Scripted(self.clock.clone()),
         );
--- a/src/controller/tests/simulation/cluster/writes.rs
+++ b/src/controller/tests/simulation/cluster/writes.rs
@@ -62,7 +62,10 @@
     fn finish_slot_write(&mut self, node: usize, pending: PendingSlotWrite) {
         let certain = matches!(
             pending.outcome,
-            Ok(TxnOutcome::Applied(_)) | Err(StoreError::RateLimited | StoreError::Unavailable)
+            Ok(TxnOutcome::Applied(_))
+                | Err(StoreError::RateLimited
+                    | StoreError::Unavailable
+                    | StoreError::TransactionRefused(_))
         );
         let found = if !certain && self.store.is_available_to(node) {
             let key = store::start_log_key(pending.slot_write.slot);
--- a/src/controller/tests/simulation/invariants.rs
+++ b/src/controller/tests/simulation/invariants.rs
@@ -109,7 +109,7 @@
             self.record_violation(violation);
         }
         let over_limit = |limit| cpus_in_use > limit + CPUS_TOLERANCE;
-        if self.team_cpu_limit.is_some_and(over_limit) {
+        if self.deployment.team_cpu_limit.is_some_and(over_limit) {
             self.record_violation(format!(
                 "team CPU limit exceeded: {cpus_in_use} CPUs in use"
             ));
--- a/src/controller/tests/simulation/mod.rs
+++ b/src/controller/tests/simulation/mod.rs
@@ -30,8 +30,10 @@
 
 pub(super) use cluster::node_name;
 pub(super) use invariants::CANCELLATION_DEADLINE;
+pub(super) use store::SizeLimits;
 pub(super) use workers::WORKER_LEASE;
 
+use crate::config::NextStateLimits;
 use crate::controller::state::ControllerState;
 use crate::coordination::leadership::Authority;
 use crate::time::Timestamp;
@@ -85,8 +87,17 @@
     pub start_log_write_latency: Duration,
     cloud: Cloud,
     network: Network,
+    /// Settings of the controllers that differ between tests.
+    deployment: Deployment,
+}
+
+/// Settings of the controllers that differ between tests.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Deployment {
     /// Maximum CPUs of the only team; unlimited if absent.
-    team_cpu_limit: Option<f64>,
+    pub team_cpu_limit: Option<f64>,
+    /// Limits of the store that the settings announce.
+    pub next_limits: Option<NextStateLimits>,
 }
 
 impl Simulation {
@@ -97,6 +108,15 @@
 
     /// Creates a cluster like [`Simulation::new`] whose only team may use at most `limit` CPUs.
     pub(super) fn with_team_cpu_limit(seed: u64, machines: u32, limit: Option<f64>) -> Simulation {
+        let deployment = Deployment {
+            team_cpu_limit: limit,
+            ..Deployment::default()
+        };
+        Simulation::with_deployment(seed, machines, deployment)
+    }
+
+    /// Creates a cluster like [`Simulation::new`] with these settings.
+    pub(super) fn with_deployment(seed: u64, machines: u32, deployment: Deployment) -> Simulation {
         let mut simulation = Simulation {
             clock: Rc::new(Cell::new(1000)),
             rng: StdRng::seed_from_u64(seed),
@@ -110,7 +130,7 @@
             start_log_write_latency: STEP,
             cloud: Cloud::new(machines),
             network: Network::default(),
-            team_cpu_limit: limit,
+            deployment,
         };
         simulation.run(STARTUP_TIME);
         assert!(simulation.leader().is_some() && simulation.workers.len() == machines as usize);
--- a/src/controller/tests/simulation/settling.rs
+++ b/src/controller/tests/simulation/settling.rs
@@ -43,7 +43,7 @@
             }
         }
         let capacity = self.cloud.target_machines() * TASKS_PER_MACHINE;
-        let usable_capacity = self.team_cpu_limit.map_or(capacity, |cpus| {
+        let usable_capacity = self.deployment.team_cpu_limit.map_or(capacity, |cpus| {
             let fits = |tasks: &u32| f64::from(*tasks) * TASK_CPUS <= cpus;
             (1..=capacity).take_while(fits).last().unwrap_or(0)
         });
--- a/src/controller/tests/simulation/store.rs
+++ b/src/controller/tests/simulation/store.rs
@@ -288,6 +288,8 @@
         let size = TxnSize::of(txn);
         if !self.store.limits.accept(&size) {
             self.store.refused_for_size += 1;
+            let controller = self.nodes[node].running_controller_mut();
+            let _ = controller.record_refused_transaction(&size);
             return Err(StoreError::TransactionRefused(size));
         }
         let late_write_probability = self.faults.late_write_probability;
--- a/src/controller/watch_loop.rs
+++ b/src/controller/watch_loop.rs
@@ -108,9 +108,8 @@
 /// Returns the delay after a watch request that returned changes. The controllers share a quarter of the store's request rate
 /// for watches.
 fn watch_interval(state: &ControllerState) -> Duration {
-    let platform = &state.settings().platform;
-    let controllers = platform.peers.len() + 1;
-    let interval =
-        duration_from_millis(4000.0 * controllers as f64 / platform.deployment.state.rps);
+    let controllers = state.settings().platform.peers.len() + 1;
+    let requests_per_s = state.write_limits().requests_per_s();
+    let interval = duration_from_millis(4000.0 * controllers as f64 / requests_per_s);
     interval.clamp(MIN_WATCH_INTERVAL, MAX_WATCH_INTERVAL)
 }
--- a/src/scheduler/start_log/text.rs
+++ b/src/scheduler/start_log/text.rs
@@ -8,6 +8,7 @@
 //!
 //! Example: `m-1 10.0.0.1:80 /job-1 0.5000001 1.5000002;m-2 10.0.0.2:80 /job-1 2.5000003`
 
+use super::super::index::MachineIndex;
 use super::super::Scheduler;
 use super::LogEntry;
 use std::fmt::Write;
@@ -16,6 +17,10 @@
 pub(super) const NO_ADDRESS: &str = "-";
 /// Maximum length of a name in the text.
 const MAX_NAME_BYTES: usize = 100;
+/// Maximum length of a `task` in the text: a task number of 32 bits in decimal, a dot, an attempt number of 64 bits in hexadecimal.
+const MAX_ATTEMPT_BYTES: usize = 10 + 1 + 16;
+/// Length of the separators of an entry that shares no name with another one: `;`, ` `, ` /` and ` `.
+const SEPARATOR_BYTES: usize = 5;
 /// Estimated length of an entry's text, by which buffers are allocated.
 const ENTRY_CAPACITY: usize = 24;
 
@@ -99,14 +104,27 @@
 
     /// Appends the name and the address of an entry's machine.
     fn write_machine(&self, text: &mut String, entry: &LogEntry) {
-        let machine = self.machine(entry.machine);
-        let address = if is_loggable_name(machine.contact.address()) {
-            machine.contact.address()
+        text.push_str(self.machine(entry.machine).name());
+        text.push(' ');
+        text.push_str(self.logged_address(entry.machine));
+    }
+
+    /// Returns the address of a machine as the text contains it.
+    fn logged_address(&self, machine: MachineIndex) -> &str {
+        let address = self.machine(machine).contact.address();
+        if is_loggable_name(address) {
+            address
         } else {
             NO_ADDRESS
-        };
-        text.push_str(machine.name());
-        text.push(' ');
-        text.push_str(address);
+        }
+    }
+
+    /// Returns the number of bytes that an entry adds to the text of a slot at most, when it shares neither its machine nor its
+    /// job with another entry.
+    pub(super) fn max_entry_bytes(&self, entry: &LogEntry) -> usize {
+        let machine = self.machine(entry.machine).name().len();
+        let address = self.logged_address(entry.machine).len();
+        let job = self.job(entry.task.job).record.spec.id.len();
+        machine + address + job + MAX_ATTEMPT_BYTES + SEPARATOR_BYTES
     }
 }
--- a/src/scheduler/tests/start_log.rs
+++ b/src/scheduler/tests/start_log.rs
@@ -134,3 +134,75 @@
     written.dedup();
     assert_eq!(written.len(), 5);
 }
+
+/// Returns a cluster with this many machines whose names are as long as the log allows, with one placed task on each.
+fn cluster_with_long_names(machines: u32) -> Cluster {
+    let mut cluster = Cluster::new();
+    for number in 0..machines {
+        cluster.add_machine(&format!("{number:0100}"), "a");
+    }
+    for number in 0..machines {
+        let full_machine = JobSpec {
+            cpus: 8.0,
+            ..spec(&format!("wk-{number:020}"), 1)
+        };
+        cluster.submit(full_machine, 100 + u64::from(number));
+    }
+    cluster.scheduler.place();
+    cluster
+}
+
+/// Writes the log until no entry is left, and returns the texts of the writes.
+fn write_all(cluster: &mut Cluster, max_bytes: usize, revision: &mut u64) -> Vec<String> {
+    let mut texts = Vec::new();
+    while let Some(write) = cluster.scheduler.next_log_write(max_bytes, 60) {
+        *revision += 1;
+        texts.push(write.text.clone());
+        cluster
+            .scheduler
+            .log_write_applied(write, Revision::new(*revision));
+    }
+    texts
+}
+
+/// The space that entries take was once estimated. With long names, a slot was chosen that had no space for any further entry, and
+/// the starts waited without end; or a slot exceeded the limit.
+#[test]
+fn a_slot_holds_no_more_than_the_limit_however_long_the_names_are() {
+    for max_bytes in [500, 1000, 1984, 8000] {
+        let mut cluster = cluster_with_long_names(40);
+        let mut revision = 500;
+        let texts = write_all(&mut cluster, max_bytes, &mut revision);
+        assert!(texts.iter().all(|text| text.len() <= max_bytes));
+        // The starts of all jobs are durable.
+        assert_eq!(cluster.scheduler.direct_commands(99).len(), 40);
+    }
+}
+
+/// A slot that was written under a higher limit can't be rewritten with what it holds. The leader once chose it for every write.
+#[test]
+fn a_slot_beyond_a_lowered_limit_is_left_alone_and_starts_go_into_other_slots() {
+    let mut cluster = cluster_with_long_names(20);
+    let mut revision = 500;
+    assert_eq!(write_all(&mut cluster, 8000, &mut revision).len(), 1);
+    (20..40).for_each(|number| cluster.add_machine(&format!("{number:0100}"), "a"));
+    (20..40).for_each(|number| cluster.submit(spec(&format!("wk-{number:020}"), 4), 700));
+    cluster.scheduler.place();
+    let write = cluster.scheduler.next_log_write(1984, 60).unwrap();
+    assert_eq!((write.slot, write.version), (1, Revision::ZERO));
+    cluster
+        .scheduler
+        .log_write_applied(write, Revision::new(900));
+    let texts = write_all(&mut cluster, 1984, &mut revision);
+    assert!(!texts.is_empty() && texts.iter().all(|text| text.len() <= 1984));
+    assert_eq!(cluster.scheduler.direct_commands(99).len(), 40);
+}
+
+/// An entry that alone exceeds the limit is written alone, so that the service's refusal is logged; its job is still checked.
+#[test]
+fn an_entry_larger_than_the_limit_is_written_alone() {
+    let mut cluster = cluster_with_long_names(2);
+    let write = cluster.scheduler.next_log_write(50, 60).unwrap();
+    assert_eq!(write.jobs.len(), 1);
+    assert!(!write.text.contains(';'));
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -23,6 +23,7 @@
 
 mod client;
 mod keys;
+mod limits;
 mod loading;
 mod metrics;
 mod recent_map;
@@ -39,6 +40,7 @@
     catalogue_key, done_key, epoch_key, final_key, leader_key, live_key, parse_live_key,
     rental_key, start_log_key, stopping_key, ROOT, TASKS_PER_CHUNK,
 };
+pub use limits::WriteLimits;
 pub use metrics::{StoreMetrics, StoreRequestTotals};
 pub use records::{
     bitmap_to_hex, Epoch, EpochRecord, FinalRecord, JobRecord, LeaderRecord, RentalRecord,
--- a/src/store/tests/mod.rs
+++ b/src/store/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod keys;
+mod limits;
 mod records;
 mod replica;
 mod transactions;
