A job stored above a lowered limit can be cancelled

What callers saw: after the state service had lowered its limit on values, the cancellation of a job whose record was larger was answered with 503 without end, and its tasks went on.

Cause: a cancellation moves the record from live/JOB to stopping/JOB, so it writes a value as large as the one that was accepted under the higher limit.

Fix: a record that is too large is stored for stopping without what only the placement of tasks needs: first without the machine types, of which there may be 64, and if that does not suffice without the names of zone, class and image. The form of the record stays, older versions read it. Limits that are not announced are learned from the refusal, after which the request itself tries again.

Test: a_job_stored_above_the_lowered_limit_can_be_cancelled fails without the reduction, which was tried; a new leader stops the tasks from the reduced record alone.

--- a/src/controller/state/cancellations.rs
+++ b/src/controller/state/cancellations.rs
@@ -4,7 +4,8 @@
 use crate::coordination::cancellations::{Notice, OtherLeader, ReplicaView};
 use crate::coordination::peers::{Cancelled, CancelledJob};
 use crate::protocol as wire;
-use crate::store::{FinalRecord, Revision, Versioned};
+use crate::protocol::Txn;
+use crate::store::{self, FinalRecord, JobRecord, Revision, Versioned};
 
 impl ControllerState {
     /// Returns the next message of cancellations to a peer, and the last notice in it.
@@ -27,6 +28,19 @@
             .record_peer_revision(peer, replica_revision);
     }
 
+    /// Returns the transaction that cancels an unfinished job, within the limits of the store.
+    pub(in crate::controller) fn cancellation_txn(
+        &self,
+        id: &str,
+        live: &Versioned<JobRecord>,
+    ) -> Txn {
+        let stopping = Versioned {
+            record: live.record.for_stopping(self.write_limits.value_bytes()),
+            version: live.version,
+        };
+        store::cancel_txn(id, &stopping)
+    }
+
     /// Applies a durable cancellation, possibly before the replica contains it: the tasks of the job are stopped, and none is
     /// started or counted as done any more.
     fn apply_cancellation(&mut self, job: &str, tasks: u32) {
--- a/src/controller/tests/fault_combinations/lowered_limits.rs
+++ b/src/controller/tests/fault_combinations/lowered_limits.rs
@@ -2,7 +2,9 @@
 
 use super::super::simulation::{Deployment, Simulation, SizeLimits, SECOND};
 use crate::config::NextStateLimits;
+use crate::protocol::JobSpec;
 use crate::scheduler::tests::spec;
+use crate::store::stopping_key;
 use std::ops::Range;
 
 /// Limits that refuse the slot of the start log that holds the starts of the first jobs.
@@ -101,3 +103,31 @@
     assert_eq!(simulation.store.refused_for_size, 0);
     simulation.assert_settles();
 }
+
+/// A job whose record is larger than the lowered limit once could not be cancelled, since the cancellation moves the record. It has
+/// to stop under the next leader too, which knows only the reduced record.
+#[test]
+fn a_job_stored_above_the_lowered_limit_can_be_cancelled() {
+    let mut simulation = Simulation::new(10, 3);
+    let large = JobSpec {
+        machine_types: Some(
+            (0..12)
+                .map(|n| format!("m{n:0100}"))
+                .chain(["m8".into()])
+                .collect(),
+        ),
+        ..spec("wk-1", 4)
+    };
+    simulation.submit(large, 600 * SECOND);
+    simulation.run(10 * SECOND);
+    assert_eq!(simulation.running_task_count("wk-1"), 4);
+    simulation.store.limits = LOWERED;
+    let leader = simulation.leader().unwrap();
+    let attempts = (0..3).take_while(|_| !simulation.cancel(leader, "wk-1"));
+    assert!(attempts.count() < 3);
+    simulation.crash(leader, SECOND);
+    simulation.run(60 * SECOND);
+    assert_eq!(simulation.running_task_count("wk-1"), 0);
+    assert!(!simulation.store.contains(&stopping_key("wk-1")));
+    simulation.assert_no_violations();
+}
--- a/src/controller/tests/simulation/store.rs
+++ b/src/controller/tests/simulation/store.rs
@@ -61,7 +61,7 @@
 
 impl SizeLimits {
     /// Reports whether a transaction of a size is accepted.
-    fn accept(&self, size: &TxnSize) -> bool {
+    pub(super) fn accept(&self, size: &TxnSize) -> bool {
         size.changes <= self.changes
             && size.guards <= GUARDS_PER_CHANGE * self.changes
             && size.largest_value <= self.value_bytes
--- a/src/controller/tests/simulation/users.rs
+++ b/src/controller/tests/simulation/users.rs
@@ -4,7 +4,7 @@
 use crate::coordination::cancellations::Notice;
 use crate::coordination::peers::CancelledJob;
 use crate::protocol::JobSpec;
-use crate::store::{self, FinalRecord, JobRecord, TxnOutcome};
+use crate::store::{self, FinalRecord, JobRecord, TxnOutcome, TxnSize};
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -88,7 +88,14 @@
         let Some(live) = controller.replica().live.get(id).cloned() else {
             return false;
         };
-        let TxnOutcome::Applied(revision) = self.store.commit(&store::cancel_txn(id, &live)) else {
+        let txn = controller.cancellation_txn(id, &live);
+        let size = TxnSize::of(&txn);
+        if !self.store.limits.accept(&size) {
+            self.store.refused_for_size += 1;
+            let _ = controller.record_refused_transaction(&size);
+            return false;
+        }
+        let TxnOutcome::Applied(revision) = self.store.commit(&txn) else {
             return false;
         };
         let notice = controller.record_cancellation(CancelledJob {
--- a/src/controller/user_requests/cancellation.rs
+++ b/src/controller/user_requests/cancellation.rs
@@ -14,7 +14,7 @@
 use crate::coordination::cancellations::Notice;
 use crate::coordination::leadership::longest_authority;
 use crate::coordination::peers::CancelledJob;
-use crate::store::{self, FinalRecord, JobRecord, Revision, StoreError, TxnOutcome, Versioned};
+use crate::store::{FinalRecord, JobRecord, Revision, StoreError, TxnOutcome, Versioned};
 use std::ops::ControlFlow;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -65,16 +65,17 @@
             cancelled: true,
             tasks: live.record.spec.tasks,
         };
-        match self
-            .run_user_transaction(&store::cancel_txn(id, live))
-            .await
-        {
+        let txn = self.read_state(|state| state.cancellation_txn(id, live));
+        match self.run_user_transaction(&txn).await {
             Ok(TxnOutcome::Applied(revision)) => {
                 ControlFlow::Break(self.confirm(id, final_state, revision).await)
             }
             Ok(TxnOutcome::Failed(_)) | Err(StoreError::OutcomeUnknown(_)) => {
                 self.read_back(id).await
             }
+            // The known limits were lowered, to which the next attempt reduces the record. An earlier cancellation may have been
+            // applied all the same.
+            Err(StoreError::TransactionRefused(_)) => self.read_back(id).await,
             Err(_) => ControlFlow::Break(JobOutcome::RETRY_SOON),
         }
     }
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -1,6 +1,6 @@
 //! Records stored as the values of keys. Field names are part of the stored format: a renamed field needs `#[serde(rename)]`.
 
-use super::{Revision, TASKS_PER_CHUNK};
+use super::{json_bytes, Revision, TASKS_PER_CHUNK};
 use crate::protocol::JobSpec;
 use ciborium::Value;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
@@ -15,6 +15,27 @@
     pub at_ms: u64,
 }
 
+impl JobRecord {
+    /// Returns the record as it is stored while the job is being stopped, in at most `max_bytes` if possible.
+    ///
+    /// If the whole record is larger, it is stored without what only the placement of tasks needs: the machine types, which may be
+    /// many, and if that does not suffice also the names of zone, class and image. Without that, a job that was accepted under
+    /// a higher limit could not be cancelled any more.
+    #[must_use]
+    pub fn for_stopping(&self, max_bytes: usize) -> JobRecord {
+        let mut record = self.clone();
+        if json_bytes(&record) > max_bytes {
+            record.spec.machine_types = None;
+        }
+        if json_bytes(&record) > max_bytes {
+            record.spec.zone = None;
+            record.spec.class.clear();
+            record.spec.image.clear();
+        }
+        record
+    }
+}
+
 /// The final state of a job, which never changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FinalRecord {
