A submission that can't be stored is rejected with its reason

What callers saw: a job whose record was larger than the state service accepts was answered with 503 'try again' to each repetition, though it could never be stored.

Cause: the refusal for size was taken for a failure that passes.

Fix: it is answered with 422 and 'the job's record of N bytes is larger than can be stored'. The service checks sizes before guards, so a refusal does not tell whether the job was accepted earlier, under a higher limit; that is read first, and such a job is answered with its state.

--- a/src/api/tests.rs
+++ b/src/api/tests.rs
@@ -105,6 +105,10 @@
         rejection_text(JobRejection::NoMachineTypeFits),
         "no allowed machine type is large enough"
     );
+    assert_eq!(
+        rejection_text(JobRejection::RecordTooLarge { bytes: 2500 }),
+        "the job's record of 2500 bytes is larger than can be stored"
+    );
     assert_eq!(
         rejection_text(JobRejection::ExceedsTeamLimit),
         "more than the team's limit"
--- a/src/controller/messages.rs
+++ b/src/controller/messages.rs
@@ -73,6 +73,12 @@
     /// The tasks that have to run at the same time exceed the team's limit.
     #[error("more than the team's limit")]
     ExceedsTeamLimit,
+    /// The state service does not accept a value as large as the job's record.
+    #[error("the job's record of {bytes} bytes is larger than can be stored")]
+    RecordTooLarge {
+        /// Size of the record in the form of JSON, in bytes.
+        bytes: usize,
+    },
 }
 
 /// The outcome of a worker's heartbeat.
--- a/src/controller/user_requests/submission.rs
+++ b/src/controller/user_requests/submission.rs
@@ -5,7 +5,7 @@
 //! 3. Otherwise a transaction creates the job's record, on the condition that the job does not exist in any state. The job is
 //!    accepted once that transaction is durable. The leader learns of the job from its watch.
 //! 4. If the transaction's conditions fail, the job already exists. If the transaction is not answered, the record is read
-//!    back.
+//!    back. If the store refuses it for its size, the job is rejected, unless it was accepted earlier.
 
 #[cfg(test)]
 mod tests;
@@ -16,7 +16,7 @@
 use crate::controller::messages::{JobOutcome, JobRejection};
 use crate::controller::state::ControllerState;
 use crate::protocol::{JobKind, JobSpec, JobState, JobView};
-use crate::store::{self, JobRecord, StoreError, TxnOutcome};
+use crate::store::{self, json_bytes, JobRecord, StoreError, TxnOutcome};
 
 /// Number of changes to the store per submission.
 const SUBMISSION_CHANGES: u32 = 1;
@@ -60,6 +60,10 @@
         let at_ms = self.read_state(ControllerState::unix_millis);
         let record = JobRecord { spec, at_ms };
         let id = record.spec.id.as_str();
+        let bytes = json_bytes(&record);
+        if bytes > self.read_state(|state| state.write_limits().largest_value_bytes()) {
+            return self.reject_too_large(id, bytes).await;
+        }
         match self
             .run_user_transaction(&store::submit_txn(id, &record))
             .await
@@ -73,10 +77,18 @@
             }
             Ok(TxnOutcome::Failed(_)) => JobOutcome::Known(self.unfinished_view(id)),
             Err(StoreError::OutcomeUnknown(_)) => self.read_back_submission(id).await,
+            Err(StoreError::TransactionRefused(_)) => self.reject_too_large(id, bytes).await,
             Err(_) => JobOutcome::RETRY_SOON,
         }
     }
 
+    /// Rejects a job whose record the store does not accept, unless the job was accepted earlier, when limits were higher. The
+    /// store checks the size of a transaction before its guards, so that a refusal does not tell.
+    async fn reject_too_large(&self, id: &str, bytes: usize) -> JobOutcome {
+        let rejection = JobRejection::RecordTooLarge { bytes };
+        self.poll_or(id, JobOutcome::Rejected(rejection)).await
+    }
+
     /// Returns the state of a job that is unfinished in the store, though it may not have reached the replica yet.
     fn unfinished_view(&self, id: &str) -> JobView {
         self.read_state(|state| {
--- a/tests/soak/lowered_limits.rs
+++ b/tests/soak/lowered_limits.rs
@@ -8,6 +8,7 @@
 use crate::run::{deployment, log_directory, start, LOWERED_LIMITS, START_TIMEOUT};
 use crate::schedule::Notice;
 use crate::troubles::Surroundings;
+use crate::workload::draws::long_list_of_machine_types;
 use crate::workload::TEAMS;
 use hollowswitch::protocol::{JobKind, JobSpec, JobState, Priority};
 use std::time::Duration;
@@ -159,3 +160,50 @@
 fn accepted_jobs_start_after_the_limits_were_lowered_without_an_announcement() {
     play(check_that_later_jobs_start(9002, Notice::None));
 }
+
+async fn check_jobs_with_large_records(seed: u64, notice: Notice) {
+    let cluster = Cluster::start(seed, notice).await;
+    let large = || Some(long_list_of_machine_types());
+    let kept = cluster.submit_accepted(1, large()).await;
+    let cancelled = cluster.submit_accepted(2, large()).await;
+    for job in [&kept, &cancelled] {
+        cluster.wait_for_state(job, JobState::Running).await;
+    }
+    cluster.lower_limits();
+    // A submission that can't be stored is neither accepted nor put off, at any controller.
+    let too_large = cluster.service(3, large());
+    for controller in ControllerId::all() {
+        let answer = timeout(EFFECT_TIMEOUT, cluster.submit(controller, &too_large)).await;
+        assert_eq!(answer.ok(), Some(Answer::Rejected));
+        let poll = cluster.user.poll(controller, &too_large.id).await;
+        assert_eq!(poll, Answer::Unknown);
+        // What was accepted stays accepted.
+        let repeated = cluster.submit(controller, &kept).await;
+        assert_eq!(repeated, Answer::State(JobState::Running));
+    }
+    // What is stored above the limit can be cancelled: its record moves.
+    let cancel = async {
+        let confirmed = Answer::State(JobState::Cancelled);
+        while cluster.user.cancel(ControllerId(1), &cancelled.id).await != confirmed {
+            sleep(RETRY_INTERVAL).await;
+        }
+    };
+    assert!(timeout(EFFECT_TIMEOUT, cancel).await.is_ok());
+    cluster
+        .wait_for_state(&cancelled, JobState::Cancelled)
+        .await;
+    let repeated = cluster.submit(ControllerId(2), &cancelled).await;
+    assert_eq!(repeated, Answer::State(JobState::Cancelled));
+}
+
+/// Submissions that were too large to be stored were once put off without end, and jobs with such records could not be cancelled.
+#[test]
+fn large_jobs_are_rejected_or_cancelled_after_announced_limits_have_come_into_force() {
+    play(check_jobs_with_large_records(9003, Notice::InSettings));
+}
+
+/// Like the test above, with limits that are not announced.
+#[test]
+fn large_jobs_are_rejected_or_cancelled_after_the_limits_were_lowered() {
+    play(check_jobs_with_large_records(9004, Notice::None));
+}
