Rented machines are recorded, and removed, within the limits on values

What callers saw: where the names of rented machines exceeded the limit on values, the machines were neither used nor returned, and no others were rented: the open request was sent to the cloud and its answer refused by the state service, again and again. A record that was stored under a higher limit could not be reduced when a machine of it was released; the removal was repeated every half second.

Cause: all machines of a request, up to 50, stand in one record.

Fix: the answer is divided among as many records as necessary, written in one transaction; the first one keeps the name of the request, the others get names that no rental has. A record that is reduced is divided in the same way. If the parts exceed the changes of a transaction, the rest is left to the adoption of machines without a record. Deletions and removals are filled into a TxnBatch, which knows all limits.

--- a/benches/load/main.rs
+++ b/benches/load/main.rs
@@ -114,6 +114,7 @@
         boot_time: Duration::ZERO,
         list_lag: Duration::ZERO,
         rps: f64::INFINITY,
+        name_digits: 6,
     };
     let workers = WorkerSettings {
         controllers: ControllerId::all()
--- a/src/controller/cloud/rentals.rs
+++ b/src/controller/cloud/rentals.rs
@@ -7,7 +7,7 @@
 use crate::clients::cloud::RentOutcome;
 use crate::controller::state::{ControllerState, OpenRental};
 use crate::coordination::leadership::Term;
-use crate::protocol::RentRequest;
+use crate::protocol::{RentRequest, Txn};
 use crate::store::{self, guard, Revision, StoreError, TxnOutcome};
 
 /// The reason why a rental was not carried out or not recorded.
@@ -68,7 +68,9 @@
         let (mut rental, term) = self
             .update_state(|state| state.new_rental(request))
             .ok_or(RentalError::NoAuthority)?;
-        rental.version = self.store_rental(&rental, term).await?;
+        rental.version = self
+            .store_rentals(std::slice::from_ref(&rental), term)
+            .await?;
         self.execute_rental(rental).await
     }
 
@@ -80,8 +82,12 @@
         let machines = self.request_machines(&rental, term).await?;
         self.update_state(|state| state.record_rental_response(&rental.record, machines.len()));
         rental.record.machines = Some(machines);
-        rental.version = self.store_rental(&rental, term).await?;
-        self.update_state(|state| state.finish_rental(&rental));
+        let mut parts = self.read_state(|state| state.rental_parts(&rental));
+        let version = self.store_rentals(&parts, term).await?;
+        for part in &mut parts {
+            part.version = version;
+            self.update_state(|state| state.finish_rental(part));
+        }
         Ok(())
     }
 
@@ -111,12 +117,20 @@
         }
     }
 
-    /// Stores a rental on the condition that its version in the store is the known one, and returns the new version. After an
-    /// error the rental may have been stored all the same: the watch delivers the stored record, and an open request is sent to
-    /// the cloud again.
-    async fn store_rental(&self, rental: &OpenRental, term: Term) -> Result<Revision, RentalError> {
+    /// Stores rentals on the condition that their versions in the store are the known ones, and returns the new version. After an
+    /// error the rentals may have been stored all the same: the watch delivers the stored records, and an open request is sent
+    /// to the cloud again.
+    async fn store_rentals(
+        &self,
+        rentals: &[OpenRental],
+        term: Term,
+    ) -> Result<Revision, RentalError> {
         let epoch = guard(store::epoch_key(), term.epoch_version);
-        let txn = store::rental_txn(&epoch, &rental.name, rental.version, &rental.record);
+        let guards = rentals.iter().map(OpenRental::guard);
+        let txn = Txn {
+            guards: std::iter::once(epoch).chain(guards).collect(),
+            apply: rentals.iter().map(OpenRental::change).collect(),
+        };
         match self.leader_transaction(&txn).await? {
             TxnOutcome::Applied(version) => Ok(version),
             TxnOutcome::Failed(keys) => Err(RentalError::Conflict(keys)),
--- a/src/controller/state/durable_writes.rs
+++ b/src/controller/state/durable_writes.rs
@@ -1,10 +1,10 @@
 //! The transactions with which the leader stores its decisions and deletes records that are no longer needed.
 
-use super::ControllerState;
+use super::{ControllerState, OpenRental};
 use crate::coordination::leadership::Authority;
 use crate::protocol::{Change, Guard, Txn};
 use crate::scheduler::{DoneChunk, Scheduler};
-use crate::store::{self, guard, put, FinalRecord, RentalRecord, Revision};
+use crate::store::{self, guard, put, FinalRecord, RentalRecord, Revision, TxnBatch};
 use std::time::Duration;
 
 /// Time between two rounds of the leader's durable writes.
@@ -65,6 +65,11 @@
         (per_round as usize).clamp(1, limits.changes())
     }
 
+    /// Returns an empty batch of the leader's changes.
+    fn batch(&self, epoch: &Guard) -> TxnBatch<'_> {
+        TxnBatch::new(&self.write_limits, self.max_batch_changes(), epoch.clone())
+    }
+
     /// Returns complete jobs to be made final, at most [`MAX_COMPLETIONS_PER_ROUND`] of them.
     pub(in crate::controller) fn job_completions(&self, epoch: &Guard) -> Vec<JobCompletion> {
         let complete = self.scheduler.as_ref().map(Scheduler::complete_jobs);
@@ -145,33 +150,36 @@
         if !reconciliation.has_pending_removals() {
             return None;
         }
-        let max_changes = self.max_batch_changes();
         let mut removed = Vec::new();
-        let mut txn = Txn {
-            guards: vec![epoch.clone()],
-            apply: Vec::new(),
-        };
+        let mut batch = self.batch(epoch);
         for (name, rental) in &self.replica.rentals {
+            if batch.is_full() {
+                break;
+            }
             let Some(machines) = &rental.record.machines else {
                 continue;
             };
-            let outdated = machines.is_empty()
-                || machines
-                    .iter()
-                    .any(|machine| reconciliation.is_removal_pending(machine));
-            if !outdated || txn.apply.len() >= max_changes {
-                continue;
-            }
             let (released, kept): (Vec<String>, Vec<String>) = machines
                 .iter()
                 .cloned()
                 .partition(|machine| reconciliation.is_removal_pending(machine));
-            removed.extend(released);
-            let key = store::rental_key(name);
-            txn.guards.push(guard(key.clone(), rental.version));
-            txn.apply.push(rental_change(key, &rental.record, kept));
+            let is_outdated = machines.is_empty() || !released.is_empty();
+            if !is_outdated {
+                continue;
+            }
+            let kept = RentalRecord {
+                machines: Some(kept),
+                ..rental.record.clone()
+            };
+            // What remains of a record that was stored under a higher limit may be too large for one record.
+            let parts = self.divide_rental(name, rental.version, &kept);
+            let guards = parts.iter().map(OpenRental::guard).collect();
+            let changes = parts.iter().map(OpenRental::change).collect();
+            if batch.try_add(guards, changes) {
+                removed.extend(released);
+            }
         }
-        (!txn.apply.is_empty()).then_some(RentalCleanup {
+        batch.into_txn().map(|txn| RentalCleanup {
             machines: removed,
             txn,
         })
@@ -185,43 +193,33 @@
     /// Returns the transaction that deletes the remaining records of final jobs: their stopping records, once none of their
     /// tasks can run any more, and their stored results.
     pub(in crate::controller) fn final_job_cleanup(&mut self, epoch: &Guard) -> Option<Txn> {
-        let max_changes = self.max_batch_changes();
         let scheduler = self.scheduler.as_mut()?;
         for job in scheduler.remove_stopped_jobs() {
             tracing::info!(%job, "job ended: none of its tasks can run any more");
         }
-        let mut txn = Txn {
-            guards: vec![epoch.clone()],
-            apply: Vec::new(),
-        };
-        let mut delete = |key: String, version: Revision| {
-            if txn.apply.len() < max_changes {
-                txn.guards.push(guard(key.clone(), version));
-                txn.apply.push(Change::Delete { key });
-            }
-        };
-        for (job, record) in &self.replica.stopping {
-            if !scheduler.has_job(job) {
-                delete(store::stopping_key(job), record.version);
-            }
-        }
-        for ((job, chunk), row) in &self.replica.done {
-            if !self.replica.live.contains_key(job) && !self.replica.stopping.contains_key(job) {
-                delete(store::done_key(job, *chunk), row.version);
+        let scheduler = self.scheduler.as_ref()?;
+        let replica = &self.replica;
+        let stopped = replica
+            .stopping
+            .iter()
+            .filter(|(job, _)| !scheduler.has_job(job))
+            .map(|(job, record)| (store::stopping_key(job), record.version));
+        let is_final =
+            |job: &String| !replica.live.contains_key(job) && !replica.stopping.contains_key(job);
+        let results = replica
+            .done
+            .iter()
+            .filter(|((job, _), _)| is_final(job))
+            .map(|((job, chunk), row)| (store::done_key(job, *chunk), row.version));
+        let mut batch = self.batch(epoch);
+        for (key, version) in stopped.chain(results) {
+            if !batch.try_add(
+                vec![guard(key.clone(), version)],
+                vec![Change::Delete { key }],
+            ) {
+                break;
             }
         }
-        (!txn.apply.is_empty()).then_some(txn)
-    }
-}
-
-/// Returns the change that reduces a rental record to the machines in `kept`, or deletes it if there are none.
-fn rental_change(key: String, rental: &RentalRecord, kept: Vec<String>) -> Change {
-    if kept.is_empty() {
-        return Change::Delete { key };
+        batch.into_txn()
     }
-    let rental = RentalRecord {
-        machines: Some(kept),
-        ..rental.clone()
-    };
-    put(key, &rental, None)
 }
--- a/src/controller/state/rentals.rs
+++ b/src/controller/state/rentals.rs
@@ -4,14 +4,15 @@
 use super::ControllerState;
 use crate::autoscaler::{RentalRequest, ScalingPolicy};
 use crate::coordination::leadership::{Authority, Term};
+use crate::protocol::{Change, Guard};
 use crate::scheduler::{Hardware, Offer, Origin};
-use crate::store::{RentalRecord, Revision};
+use crate::store::{self, guard, RentalRecord, Revision};
 use crate::time::duration_from_secs;
 
 /// Cooldown of an offer after a request for it, in intervals between cloud calls: requests for other offers go first.
 const OFFER_COOLDOWN_CALLS: f64 = 2.9;
 
-/// A rental request that is stored before the cloud is called, and whose outcome is not stored yet.
+/// A rental request that is stored before the cloud is called, and whose outcome is not stored yet, or a part of its outcome.
 pub(in crate::controller) struct OpenRental {
     pub(in crate::controller) name: String,
     pub(in crate::controller) record: RentalRecord,
@@ -19,6 +20,22 @@
     pub(in crate::controller) version: Revision,
 }
 
+impl OpenRental {
+    /// Returns the guard on the version of the record.
+    pub(in crate::controller) fn guard(&self) -> Guard {
+        guard(store::rental_key(&self.name), self.version)
+    }
+
+    /// Returns the change that stores the record.
+    pub(in crate::controller) fn change(&self) -> Change {
+        store::rental_change(&self.name, &self.record)
+    }
+
+    fn machine_count(&self) -> usize {
+        self.record.machines.as_ref().map_or(0, Vec::len)
+    }
+}
+
 impl ControllerState {
     /// Returns the rental requests in the store whose outcome is unknown.
     pub(in crate::controller) fn open_rentals(&self) -> Vec<OpenRental> {
@@ -86,6 +103,54 @@
         Some((rental, term))
     }
 
+    /// Returns the records in which a rental is stored, within the limits of the store. The first one replaces the record of the
+    /// request. If there are too many for one transaction, the machines in the others are left out: without a record, they are
+    /// adopted one by one.
+    pub(in crate::controller) fn rental_parts(&self, rental: &OpenRental) -> Vec<OpenRental> {
+        let mut parts = self.divide_rental(&rental.name, rental.version, &rental.record);
+        let max_parts = self.write_limits.changes();
+        if parts.len() > max_parts {
+            let left_out: usize = parts[max_parts..]
+                .iter()
+                .map(OpenRental::machine_count)
+                .sum();
+            tracing::error!(
+                request = rental.name,
+                left_out,
+                "rented machines exceed the limits of a transaction, the remaining ones will be adopted"
+            );
+            parts.truncate(max_parts);
+        }
+        parts
+    }
+
+    /// Divides a rental among records that keep to the limit on values. The first one has the name and version of the rental,
+    /// the others have names that no other rental has.
+    pub(super) fn divide_rental(
+        &self,
+        name: &str,
+        version: Revision,
+        record: &RentalRecord,
+    ) -> Vec<OpenRental> {
+        let unused_names = (1..)
+            .map(|number: u32| format!("{name}.{number}"))
+            .filter(|name| !self.replica.rentals.contains_key(name));
+        let names = std::iter::once(name.to_string()).chain(unused_names);
+        let parts = record.divide(self.write_limits.value_bytes());
+        names
+            .zip(parts)
+            .map(|(part_name, record)| OpenRental {
+                version: if part_name == name {
+                    version
+                } else {
+                    Revision::ZERO
+                },
+                name: part_name,
+                record,
+            })
+            .collect()
+    }
+
     /// Records that the cloud has answered a rental request with `rented` machines.
     pub(in crate::controller) fn record_rental_response(
         &mut self,
--- a/src/controller/tests/failover.rs
+++ b/src/controller/tests/failover.rs
@@ -4,6 +4,7 @@
 //! predecessor of another version.
 
 mod late_responses;
+mod lowered_limits;
 
 use crate::config::tests::settings;
 use crate::controller::clock::Clock;
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -21,6 +21,7 @@
 //!
 //! Every write of the leader has a guard on the version of `epoch`, so that the writes of a leader of an earlier epoch fail.
 
+mod batch;
 mod client;
 mod keys;
 mod limits;
@@ -35,6 +36,7 @@
 mod transactions;
 
 pub use crate::protocol::Revision;
+pub use batch::TxnBatch;
 pub use client::{StoreClient, StoreError, TxnOutcome, UnknownOutcome};
 pub use keys::{
     catalogue_key, done_key, epoch_key, final_key, leader_key, live_key, parse_live_key,
@@ -43,12 +45,12 @@
 pub use limits::WriteLimits;
 pub use metrics::{StoreMetrics, StoreRequestTotals};
 pub use records::{
-    bitmap_to_hex, Epoch, EpochRecord, FinalRecord, JobRecord, LeaderRecord, RentalRecord,
-    Versioned,
+    bitmap_to_hex, max_bitmap_bytes, Epoch, EpochRecord, FinalRecord, JobRecord, LeaderRecord,
+    RentalRecord, Versioned,
 };
 pub use replica::{Replica, ReplicaChange};
 pub use size::{json_bytes, TxnSize};
 pub use transactions::{
-    cancel_txn, claim_txn, complete_txn, guard, put, rental_txn, start_log_txn, submit_txn,
-    LoggedJob, StartLogWrite,
+    cancel_txn, claim_txn, complete_txn, guard, put, rental_change, rental_txn, start_log_txn,
+    submit_txn, LoggedJob, StartLogWrite,
 };
--- a/src/store/records.rs
+++ b/src/store/records.rs
@@ -6,6 +6,13 @@
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::fmt;
 
+/// Bytes of the quotes around a text in the form of JSON.
+const QUOTES_BYTES: usize = 2;
+/// Hexadecimal digits of a byte.
+const HEX_DIGITS_PER_BYTE: usize = 2;
+/// Bytes of the separator between two elements of a list in the form of JSON.
+const LIST_SEPARATOR_BYTES: usize = 1;
+
 /// A submitted job, while it is unfinished or being stopped.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -131,6 +138,34 @@
     pub machines: Option<Vec<String>>,
 }
 
+impl RentalRecord {
+    /// Divides the machines of an answered request among as few records as necessary for each to take at most `max_bytes`. A
+    /// record with a single machine may be larger.
+    #[must_use]
+    pub fn divide(&self, max_bytes: usize) -> Vec<RentalRecord> {
+        let Some(machines) = &self.machines else {
+            return vec![self.clone()];
+        };
+        let part_of = |machines: Vec<String>| RentalRecord {
+            machines: Some(machines),
+            ..self.clone()
+        };
+        let empty_bytes = json_bytes(&part_of(Vec::new()));
+        let (mut parts, mut part, mut bytes) = (Vec::new(), Vec::new(), empty_bytes);
+        for machine in machines {
+            let machine_bytes = json_bytes(machine) + LIST_SEPARATOR_BYTES;
+            if bytes + machine_bytes > max_bytes && !part.is_empty() {
+                parts.push(part_of(std::mem::take(&mut part)));
+                bytes = empty_bytes;
+            }
+            bytes += machine_bytes;
+            part.push(machine.clone());
+        }
+        parts.push(part_of(part));
+        parts
+    }
+}
+
 /// A record with the version of its key.
 #[derive(Debug, Clone)]
 pub struct Versioned<T> {
@@ -154,6 +189,12 @@
     text
 }
 
+/// Returns the size of the largest bitmap whose text takes at most `max_value_bytes` as a value.
+#[must_use]
+pub fn max_bitmap_bytes(max_value_bytes: usize) -> usize {
+    max_value_bytes.saturating_sub(QUOTES_BYTES) / HEX_DIGITS_PER_BYTE
+}
+
 /// Decodes the text of [`bitmap_to_hex`]. Returns `None` if it is malformed or longer than a chunk.
 pub(super) fn hex_to_bitmap(text: &str) -> Option<Vec<u8>> {
     let digits: Option<Vec<u8>> = text.chars().map(hexadecimal_digit).collect();
--- a/src/store/tests/mod.rs
+++ b/src/store/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of keys, records, transactions, the replica and the client.
 
+mod batch;
 mod client;
 mod keys;
 mod limits;
--- a/src/store/transactions.rs
+++ b/src/store/transactions.rs
@@ -148,17 +148,20 @@
 /// [`Revision::ZERO`]) or answered by the cloud. An answered request without machines is deleted.
 #[must_use]
 pub fn rental_txn(epoch: &Guard, request: &str, version: Revision, record: &RentalRecord) -> Txn {
-    let key = rental_key(request);
-    let empty = record.machines.as_ref().is_some_and(Vec::is_empty);
-    let change = if empty {
-        Change::Delete { key: key.clone() }
-    } else {
-        put(key.clone(), record, None)
-    };
     Txn {
-        guards: vec![epoch.clone(), guard(key, version)],
-        apply: vec![change],
+        guards: vec![epoch.clone(), guard(rental_key(request), version)],
+        apply: vec![rental_change(request, record)],
+    }
+}
+
+/// Returns the change that writes the record of a rental request. The record of an answered one without machines is deleted.
+#[must_use]
+pub fn rental_change(request: &str, record: &RentalRecord) -> Change {
+    let key = rental_key(request);
+    if record.machines.as_ref().is_some_and(Vec::is_empty) {
+        return Change::Delete { key };
     }
+    put(key, record, None)
 }
 
 /// Returns the transaction that makes starts durable in a slot of the start log, guarded by the leader's epoch. It applies only
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -36,6 +36,8 @@
     pub(crate) list_lag: Duration,
     /// Requests per second.
     pub(crate) rps: f64,
+    /// Number of digits in the name of a machine.
+    pub(crate) name_digits: usize,
 }
 
 /// A rented machine.
@@ -175,7 +177,7 @@
     ) -> Machine {
         let address = self.topology.worker_address(number);
         let listed = ListedMachine {
-            id: format!("n-{number:06}"),
+            id: format!("n-{number:0width$}", width = self.settings.name_digits),
             address: address.to_string(),
             machine_type: request.machine_type.clone(),
             zone: request.zone.clone(),
--- a/tests/soak/lowered_limits.rs
+++ b/tests/soak/lowered_limits.rs
@@ -1,16 +1,17 @@
 //! The state service lowers its limits while jobs run, without any other trouble.
 
-use crate::harness::history::{Answer, Recorder};
+use crate::harness::history::{Answer, Observation, Recorder};
 use crate::harness::jobs::{JobDescription, JobRegistry};
 use crate::harness::topology::{ControllerId, ReservedNetwork};
 use crate::harness::user::User;
 use crate::options::Options;
-use crate::run::{deployment, log_directory, start, LOWERED_LIMITS, START_TIMEOUT};
+use crate::run::{deployment, log_directory, start, LOWERED_LIMITS, MACHINE_TYPES, START_TIMEOUT};
 use crate::schedule::Notice;
 use crate::troubles::Surroundings;
 use crate::workload::draws::long_list_of_machine_types;
 use crate::workload::TEAMS;
 use hollowswitch::protocol::{JobKind, JobSpec, JobState, Priority};
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
@@ -26,14 +27,18 @@
     surroundings: Surroundings,
     registry: JobRegistry,
     user: User,
+    recorder: Recorder,
     _network: ReservedNetwork,
 }
 
 impl Cluster {
     async fn start(seed: u64, notice: Notice) -> Cluster {
+        Cluster::start_with(Options::for_seed(seed), notice).await
+    }
+
+    async fn start_with(options: Options, notice: Notice) -> Cluster {
         let network = ReservedNetwork::reserve(std::process::id() as usize);
-        let options = Options::for_seed(seed);
-        let logs = log_directory(seed).expect("a directory for the logs");
+        let logs = log_directory(options.seed).expect("a directory for the logs");
         let recorder = Recorder::new();
         let deployment = deployment(&options, notice);
         let surroundings = start(&options, &deployment, &network.topology, &logs, &recorder)
@@ -45,6 +50,7 @@
             registry: workload.registry(),
             user: User::new(&network.topology, &recorder),
             surroundings,
+            recorder,
             _network: network,
         }
     }
@@ -73,11 +79,15 @@
             checkpoint_save_s: 0.0,
             deadline_s: None,
         };
+        self.describe(&spec);
+        spec
+    }
+
+    fn describe(&self, spec: &JobSpec) {
         self.registry.upload(JobDescription {
             spec: spec.clone(),
             run_time: Duration::ZERO,
         });
-        spec
     }
 
     /// Submits a job until there is a definite answer.
@@ -94,11 +104,16 @@
     /// Submits a service that has to be accepted.
     async fn submit_accepted(&self, number: u32, machine_types: Option<Vec<String>>) -> JobSpec {
         let job = self.service(number, machine_types);
-        let answer = timeout(EFFECT_TIMEOUT, self.submit(ControllerId(0), &job)).await;
-        assert!(matches!(answer, Ok(Answer::State(_))), "{answer:?}");
+        self.accept(&job).await;
         job
     }
 
+    /// Submits a job that has to be accepted.
+    async fn accept(&self, job: &JobSpec) {
+        let answer = timeout(EFFECT_TIMEOUT, self.submit(ControllerId(0), job)).await;
+        assert!(matches!(answer, Ok(Answer::State(_))), "{answer:?}");
+    }
+
     /// Waits until all controllers say that a job is in a state.
     async fn wait_for_state(&self, job: &JobSpec, state: JobState) {
         for controller in ControllerId::all() {
@@ -112,6 +127,16 @@
         }
     }
 
+    /// Returns the number of tasks that were on a machine so far.
+    fn tasks_on_machines(&self) -> usize {
+        let history = self.recorder.history();
+        let tasks = history.iter().filter_map(|entry| match &entry.observation {
+            Observation::TaskOnMachine(attempt) => Some(attempt.task.as_str()),
+            _ => None,
+        });
+        tasks.collect::<BTreeSet<&str>>().len()
+    }
+
     fn lower_limits(&self) {
         let store = &self.surroundings.store;
         store.disturb(|it| it.set_limits(LOWERED_LIMITS));
@@ -207,3 +232,41 @@
 fn large_jobs_are_rejected_or_cancelled_after_the_limits_were_lowered() {
     play(check_jobs_with_large_records(9004, Notice::None));
 }
+
+/// Number of machines that one job needs. Their names don't fit into one record under the lowered limit.
+const MACHINES: u32 = 20;
+
+async fn check_rental_of_many_machines(seed: u64, notice: Notice) {
+    let options = Options {
+        machine_name_digits: 90,
+        ..Options::for_seed(seed)
+    };
+    let cluster = Cluster::start_with(options, notice).await;
+    cluster.lower_limits();
+    let job = JobSpec {
+        cpus: 4.0,
+        tasks: MACHINES,
+        ..cluster.service(1, Some(vec![MACHINE_TYPES[0].into()]))
+    };
+    cluster.describe(&job);
+    cluster.accept(&job).await;
+    let running = async {
+        while cluster.tasks_on_machines() < MACHINES as usize {
+            sleep(RETRY_INTERVAL).await;
+        }
+    };
+    assert!(timeout(EFFECT_TIMEOUT, running).await.is_ok());
+}
+
+/// The names of rented machines were once stored in one record. If it was refused for its size, the machines were neither used nor
+/// returned, and no others were rented.
+#[test]
+fn machines_are_used_although_their_names_exceed_the_announced_limit() {
+    play(check_rental_of_many_machines(9005, Notice::InSettings));
+}
+
+/// Like the test above, with limits that are not announced.
+#[test]
+fn machines_are_used_although_their_names_exceed_the_lowered_limit() {
+    play(check_rental_of_many_machines(9006, Notice::None));
+}
--- a/tests/soak/options.rs
+++ b/tests/soak/options.rs
@@ -11,6 +11,8 @@
     pub(crate) seed: u64,
     /// Number of machines that the cloud can rent out.
     pub(crate) workers: usize,
+    /// Number of digits in the names of machines.
+    pub(crate) machine_name_digits: usize,
     /// For how long there are troubles.
     pub(crate) troubles: Duration,
     /// The program of the controllers.
@@ -24,6 +26,7 @@
         Options {
             seed,
             workers: variable("SOAK_WORKERS").unwrap_or(24),
+            machine_name_digits: 6,
             troubles: Duration::from_secs(variable("SOAK_TROUBLES_S").unwrap_or(15)),
             program: program
                 .unwrap_or_else(|_| env!("CARGO_BIN_EXE_hollowswitch").to_string())
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -201,6 +201,7 @@
         boot_time: BOOT_TIME,
         list_lag: Duration::from_secs_f64(CLOUD_LIMITS.list_lag_s),
         rps: CLOUD_LIMITS.rps,
+        name_digits: options.machine_name_digits,
     }
 }
 
