Results, batches and the catalogue never wait for a write that can't succeed

Batches are halved when they are throttled repeatedly, and grow again. - The catalogue of machine types is not sent if it exceeds the limit, which is logged once per refresh (20 s). It can't be divided without changing its form: a controller that starts while the cloud is down may not know the types.

--- a/src/controller/cloud/machine_types.rs
+++ b/src/controller/cloud/machine_types.rs
@@ -3,7 +3,7 @@
 use super::{Handles, Round};
 use crate::coordination::leadership::Term;
 use crate::protocol::{MachineType, Txn};
-use crate::store::{self, guard, put, Revision};
+use crate::store::{self, guard, json_bytes, put, Revision};
 use crate::time::Timestamp;
 use std::time::Duration;
 
@@ -59,6 +59,15 @@
             if stored.is_some_and(|stored| are_equivalent(&stored.record, types)) {
                 return None;
             }
+            let (bytes, limit) = (json_bytes(&types), state.write_limits().value_bytes());
+            if bytes > limit {
+                tracing::error!(
+                    bytes,
+                    limit,
+                    "machine types not stored: a controller that starts while the cloud is down may not know them"
+                );
+                return None;
+            }
             let version = stored.map_or(Revision::ZERO, |stored| stored.version);
             Some(vec![
                 guard(store::epoch_key(), epoch_version),
--- a/src/controller/state/durable_writes.rs
+++ b/src/controller/state/durable_writes.rs
@@ -50,7 +50,7 @@
     }
 
     /// Returns the maximum number of changes in one batch: a quarter of the changes that the store allows per round, and at
-    /// most as many as fit into a transaction.
+    /// most as many as fit into a transaction and are admitted at once.
     ///
     /// Results get no larger share, since they remain on their machines until they are stored and need not be written at once.
     /// The oldest are written first.
@@ -62,7 +62,7 @@
     fn max_batch_changes(&self) -> usize {
         let limits = &self.write_limits;
         let per_round = limits.changes_per_s() * FLUSH_INTERVAL.as_secs_f64() * BATCH_CHANGE_SHARE;
-        (per_round as usize).clamp(1, limits.changes())
+        (per_round as usize).clamp(1, limits.batch_changes())
     }
 
     /// Returns an empty batch of the leader's changes.
@@ -101,29 +101,22 @@
 
     /// Returns the next results to be stored.
     pub(in crate::controller) fn results_to_store(&self, epoch: &Guard) -> Option<ResultsWrite> {
-        let chunks = self
-            .scheduler
-            .as_ref()?
-            .unstored_chunks(self.max_batch_changes());
-        if chunks.is_empty() {
-            return None;
-        }
-        let mut txn = Txn {
-            guards: vec![epoch.clone()],
-            apply: Vec::new(),
-        };
-        for chunk in &chunks {
+        let scheduler = self.scheduler.as_ref()?;
+        let max_bitmap_bytes = store::max_bitmap_bytes(self.write_limits.value_bytes());
+        let mut batch = self.batch(epoch);
+        let mut chunks = Vec::new();
+        for chunk in scheduler.unstored_chunks(self.max_batch_changes(), max_bitmap_bytes) {
             let job_is_live = guard(store::live_key(&chunk.job), chunk.version);
-            if !txn.guards.contains(&job_is_live) {
-                txn.guards.push(job_is_live);
-            }
             let stored = self.replica.done.get(&(chunk.job.clone(), chunk.chunk));
             let stored_version = stored.map_or(Revision::ZERO, |row| row.version);
             let key = store::done_key(&chunk.job, chunk.chunk);
-            txn.guards.push(guard(key.clone(), stored_version));
+            let is_unchanged = guard(key.clone(), stored_version);
             let bits = store::bitmap_to_hex(&chunk.bits);
-            txn.apply.push(put(key, &bits, None));
+            if batch.try_add(vec![job_is_live, is_unchanged], vec![put(key, &bits, None)]) {
+                chunks.push(chunk);
+            }
         }
+        let txn = batch.into_txn()?;
         Some(ResultsWrite { chunks, txn })
     }
 
--- a/src/controller/state/write_limits.rs
+++ b/src/controller/state/write_limits.rs
@@ -1,7 +1,7 @@
 //! The limits of the state service that writes keep to, and what refusals tell about them.
 
 use super::ControllerState;
-use crate::store::{TxnSize, WriteLimits};
+use crate::store::{StoreError, TxnOutcome, TxnSize, WriteLimits};
 
 /// What a refusal for size means for the next write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +19,21 @@
         &self.write_limits
     }
 
+    /// Adapts the size of batches to the outcome of a transaction with a number of changes, which was tried repeatedly if the
+    /// service did not admit them.
+    pub(in crate::controller) fn record_batch_outcome(
+        &mut self,
+        changes: usize,
+        outcome: &Result<TxnOutcome, StoreError>,
+    ) {
+        match outcome {
+            Ok(_) => self.write_limits.record_admitted(),
+            Err(StoreError::RateLimited) => self.write_limits.record_throttled(changes),
+            // Other failures do not depend on the rate.
+            Err(_) => {}
+        }
+    }
+
     /// Records that the service has refused a transaction for its size, and lowers the known limits if it kept to them.
     pub(in crate::controller) fn record_refused_transaction(
         &mut self,
--- a/src/controller/store_calls.rs
+++ b/src/controller/store_calls.rs
@@ -46,6 +46,7 @@
                 self.delay_repetition(size).await;
             }
             if result != Err(StoreError::RateLimited) || retries == RETRY_LIMIT {
+                self.update_state(|state| state.record_batch_outcome(txn.apply.len(), &result));
                 return result;
             }
             retries += 1;
--- a/src/scheduler/job_table.rs
+++ b/src/scheduler/job_table.rs
@@ -127,7 +127,11 @@
 
     /// Returns at most `max_chunks` chunks with results that are not stored yet, the longest waiting first. Chunks of complete
     /// jobs are left out, since such a job is recorded as finished as a whole.
-    pub(super) fn unstored_chunks(&self, max_chunks: usize) -> Vec<DoneChunk> {
+    pub(super) fn unstored_chunks(
+        &self,
+        max_chunks: usize,
+        max_bitmap_bytes: usize,
+    ) -> Vec<DoneChunk> {
         let mut oldest: Vec<(Timestamp, ChunkId)> = self
             .unstored_since
             .iter()
@@ -137,6 +141,7 @@
         oldest
             .into_iter()
             .filter_map(|(_, chunk)| self.done_chunk(chunk))
+            .filter(|chunk| chunk.bits.len() <= max_bitmap_bytes)
             .take(max_chunks)
             .collect()
     }
--- a/src/scheduler/jobs.rs
+++ b/src/scheduler/jobs.rs
@@ -143,10 +143,11 @@
             .collect()
     }
 
-    /// Returns at most `max_chunks` chunks with results that are not stored yet, the longest waiting first.
+    /// Returns at most `max_chunks` chunks with results that are not stored yet, the longest waiting first. Chunks whose bitmap
+    /// takes more than `max_bitmap_bytes` are left out: their results remain on the machines.
     #[must_use]
-    pub fn unstored_chunks(&self, max_chunks: usize) -> Vec<DoneChunk> {
-        self.jobs.unstored_chunks(max_chunks)
+    pub fn unstored_chunks(&self, max_chunks: usize, max_bitmap_bytes: usize) -> Vec<DoneChunk> {
+        self.jobs.unstored_chunks(max_chunks, max_bitmap_bytes)
     }
 
     /// Records that the results of a chunk are stored durably.
--- a/src/scheduler/tests/proofs.rs
+++ b/src/scheduler/tests/proofs.rs
@@ -74,7 +74,7 @@
     let running = |i: usize| (tasks[i].0.as_str(), tasks[i].1, TaskState::Running, None);
     assert!(cluster.heartbeat("n-1", &[done(0), running(1)]).is_empty());
     assert!(cluster.scheduler.complete_jobs().is_empty());
-    let chunks = cluster.scheduler.unstored_chunks(9);
+    let chunks = cluster.scheduler.unstored_chunks(9, usize::MAX);
     assert_eq!(chunks.len(), 1);
     cluster.scheduler.record_stored(&chunks[0]);
     let commands = cluster.heartbeat("n-1", &[done(0), running(1)]);
@@ -91,6 +91,33 @@
     );
 }
 
+/// The results of a chunk whose bitmap is too large for a value once kept those of all other jobs from being stored.
+#[test]
+fn results_that_exceed_the_limit_on_values_hold_no_others_up() {
+    let mut cluster = Cluster::new();
+    cluster.add_machine("n-1", "a");
+    cluster.submit(spec("wk-1", 4000), 101);
+    let large = starts(&cluster.heartbeat("n-1", &[]));
+    cluster.add_machine("n-2", "a");
+    cluster.submit(
+        JobSpec {
+            priority: Priority::Production,
+            ..spec("wk-2", 6)
+        },
+        102,
+    );
+    let small = starts(&cluster.heartbeat("n-2", &[]));
+    for (machine, tasks) in [("n-1", &large), ("n-2", &small)] {
+        cluster.heartbeat(machine, &as_exited(&tasks[..1], ExitReason::Done));
+    }
+    let jobs = |max_bitmap_bytes| -> Vec<String> {
+        let chunks = cluster.scheduler.unstored_chunks(1, max_bitmap_bytes);
+        chunks.into_iter().map(|chunk| chunk.job).collect()
+    };
+    assert_eq!(jobs(512), ["wk-1"]);
+    assert_eq!(jobs(100), ["wk-2"]);
+}
+
 #[test]
 fn a_new_session_after_answered_heartbeats_advances_the_token() {
     let mut cluster = Cluster::new();
--- a/src/store/limits.rs
+++ b/src/store/limits.rs
@@ -25,6 +25,8 @@
     changes: usize,
     /// The limit on changes according to the settings.
     announced_changes: usize,
+    /// Maximum number of changes in a batch that the rate of changes admits.
+    admitted_changes: usize,
     changes_per_s: f64,
     requests_per_s: f64,
 }
@@ -39,6 +41,7 @@
             largest_value_bytes: kib_to_bytes(settings.value_kb),
             changes: lowest.txn_ops,
             announced_changes: lowest.txn_ops,
+            admitted_changes: lowest.txn_ops,
             changes_per_s: lowest.write_rps,
             requests_per_s: lowest.rps,
         }
@@ -62,6 +65,12 @@
         self.changes
     }
 
+    /// Returns the maximum number of changes in a batch that could as well be several smaller ones.
+    #[must_use]
+    pub fn batch_changes(&self) -> usize {
+        self.changes.min(self.admitted_changes)
+    }
+
     /// Returns the maximum number of guards of a transaction.
     #[must_use]
     pub fn guards(&self) -> usize {
@@ -86,6 +95,17 @@
         self.requests_per_s
     }
 
+    /// Records that the service did not admit a number of changes, although they were tried repeatedly. Bursts are limited to the
+    /// changes of a second: if the rate is lower than known, a batch of more would never be admitted.
+    pub fn record_throttled(&mut self, changes: usize) {
+        self.admitted_changes = (changes / 2).max(1);
+    }
+
+    /// Records that the service has admitted a transaction, so that batches may grow again.
+    pub fn record_admitted(&mut self) {
+        self.admitted_changes = (self.admitted_changes + 1).min(self.announced_changes);
+    }
+
     /// Reports whether a transaction of this size keeps to the limits.
     #[must_use]
     pub fn accept(&self, size: &TxnSize) -> bool {
--- a/src/store/tests/limits.rs
+++ b/src/store/tests/limits.rs
@@ -124,3 +124,16 @@
     assert!(!limits.record_refusal(&value(10)));
     assert!(limits.accept(&value(512)));
 }
+
+/// A batch of more changes than the service admits in a second was once tried again without end.
+#[test]
+fn batches_shrink_until_the_rate_admits_them_and_grow_again() {
+    let mut limits = WriteLimits::new(&settings(None));
+    for expected in [32, 16, 8, 4, 2, 1, 1] {
+        limits.record_throttled(limits.batch_changes());
+        assert_eq!(limits.batch_changes(), expected);
+    }
+    assert_eq!(limits.changes(), 64);
+    (0..100).for_each(|_| limits.record_admitted());
+    assert_eq!(limits.batch_changes(), 64);
+}
