--- a/src/api/status/gauges.rs
+++ b/src/api/status/gauges.rs
@@ -39,6 +39,8 @@
     healthy: Gauge,
     unfinished_jobs: Gauge,
     machines: Gauge,
+    store_value_limit: Gauge,
+    store_change_limit: Gauge,
     timer_delay: SecondsGauge,
 }
 
@@ -52,6 +54,14 @@
             healthy: count("healthy", "Whether users should be sent here"),
             unfinished_jobs: count("unfinished_jobs", "Unfinished jobs in the replica"),
             machines: count("machines", "Machines that the leader knows"),
+            store_value_limit: count(
+                "store_value_limit_bytes",
+                "Maximum size of a value that is written to the state service",
+            ),
+            store_change_limit: count(
+                "store_change_limit",
+                "Maximum number of changes in a transaction",
+            ),
             replica_lag: register_seconds(
                 registry,
                 "replica_lag_seconds",
@@ -75,6 +85,10 @@
         self.unfinished_jobs
             .set(saturating(status.unfinished_jobs as u64));
         self.machines.set(saturating(status.machines as u64));
+        self.store_value_limit
+            .set(saturating(status.store_value_bytes as u64));
+        self.store_change_limit
+            .set(saturating(status.store_txn_changes as u64));
         self.replica_lag.set(status.replica_lag.as_secs_f64());
         self.timer_delay
             .set(status.longest_timer_delay.as_secs_f64());
--- a/src/api/status/log.rs
+++ b/src/api/status/log.rs
@@ -44,6 +44,8 @@
         unavailable = requests.unavailable,
         failed = requests.failed,
         refused = requests.refused,
+        value_limit_bytes = controller.store_value_bytes,
+        change_limit = controller.store_txn_changes,
         loads_completed = requests.loads_completed,
         loads_failed = requests.loads_failed,
         reads_completed = reads.completed,
--- a/src/controller/status.rs
+++ b/src/controller/status.rs
@@ -34,6 +34,10 @@
     pub unfinished_jobs: usize,
     /// Number of machines that the scheduler knows; 0 on a follower.
     pub machines: usize,
+    /// Maximum size of a value that this controller writes to the store, in bytes.
+    pub store_value_bytes: usize,
+    /// Maximum number of changes in a transaction of this controller.
+    pub store_txn_changes: usize,
     /// Requests to the store.
     pub store_requests: StoreRequestTotals,
     /// Reads on behalf of users.
@@ -70,6 +74,8 @@
             is_store_reachable: self.is_store_reachable(),
             unfinished_jobs: self.replica().live.len(),
             machines: scheduler.map_or(0, |scheduler| scheduler.machines().count()),
+            store_value_bytes: self.write_limits().value_bytes(),
+            store_txn_changes: self.write_limits().changes(),
             store_requests: StoreRequestTotals::default(),
             reads: ReadTotals::default(),
             withheld_commands: 0,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -23,6 +23,7 @@
 
 mod batch;
 mod client;
+mod error;
 mod keys;
 mod limits;
 mod loading;
@@ -37,7 +38,8 @@
 
 pub use crate::protocol::Revision;
 pub use batch::TxnBatch;
-pub use client::{StoreClient, StoreError, TxnOutcome, UnknownOutcome};
+pub use client::{StoreClient, TxnOutcome};
+pub use error::{StoreError, UnknownOutcome};
 pub use keys::{
     catalogue_key, done_key, epoch_key, final_key, leader_key, live_key, parse_live_key,
     rental_key, start_log_key, stopping_key, ROOT, TASKS_PER_CHUNK,
