--- a/src/config/error.rs
+++ b/src/config/error.rs
@@ -61,8 +61,8 @@
     #[error("must be a number above 0")]
     NotPositive,
     /// The limit on the changes of a transaction is below the number that the leader needs.
-    #[error("must be at least 4")]
-    TooFewChanges,
+    #[error("must be at least {0}")]
+    TooFewChanges(usize),
     /// The lease of workers does not exceed their heartbeat interval, so that it would expire between two heartbeats.
     #[error("must exceed report_s")]
     LeaseTooShort,
--- a/src/config/validation.rs
+++ b/src/config/validation.rs
@@ -58,7 +58,7 @@
         ensure(
             self.txn_ops >= MIN_TRANSACTION_CHANGES,
             "deployment.state.txn_ops",
-            Problem::TooFewChanges,
+            Problem::TooFewChanges(MIN_TRANSACTION_CHANGES),
         )?;
         self.next.map_or(Ok(()), NextStateLimits::validate)
     }
@@ -78,7 +78,7 @@
         ensure(
             self.txn_ops.is_none_or(enough_changes),
             "deployment.state.next.txn_ops",
-            Problem::TooFewChanges,
+            Problem::TooFewChanges(MIN_ANNOUNCED_TRANSACTION_CHANGES),
         )
     }
 }
--- a/tests/compat/settings.rs
+++ b/tests/compat/settings.rs
@@ -184,6 +184,26 @@
     kept.join("\n")
 }
 
+#[test]
+fn announced_limits_of_the_state_service_are_read() {
+    let announced =
+        "[deployment.state.next]\nrps = 190.0\nwrite_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 5\n";
+    let next = |text: &str| {
+        let platform = PLATFORM.replace("[deployment.cloud]", &format!("{text}[deployment.cloud]"));
+        let settings = load(&platform, None).expect("valid settings");
+        settings.platform.deployment.state.next
+    };
+    let complete = next(announced).expect("limits are announced");
+    assert_eq!(
+        (complete.rps, complete.write_rps, complete.value_kb),
+        (Some(190.0), Some(28.0), Some(2.0))
+    );
+    assert_eq!(complete.txn_ops, Some(5));
+    assert!(next("").is_none());
+    let partial = next("[deployment.state.next]\nvalue_kb = 2.0\n").expect("a limit");
+    assert_eq!((partial.rps, partial.txn_ops), (None, None));
+}
+
 #[test]
 fn optional_keys_of_the_platform_file_have_defaults() {
     let text = without_lines(PLATFORM, "ram_mb");
