A refused write that would be built the same again is delayed, whatever limit it exceeds

The delay of 5 s was left out where a transaction exceeded the known limits, as a single entry of the start log larger than a value does: it would have been repeated at the interval of the log. The delay now depends on whether the known limits on sizes are still those for which the transaction was built.

Found by reading. Test: a_transaction_that_is_refused_and_built_the_same_again_is_delayed plays both cases against a service that refuses everything, and counts its requests.

--- a/src/controller/state.rs
+++ b/src/controller/state.rs
@@ -37,7 +37,6 @@
 pub(super) use round_timing::MIN_ROUND_INTERVAL;
 pub(super) use scheduling_round::{RoundOutcome, SendLimits, StepDownReason};
 pub(super) use start_log::PreparedStartLogWrite;
-pub(super) use write_limits::AfterRefusal;
 
 use self::leader_report::LeaderReport;
 use self::leadership_status::LeadershipStatus;
--- a/src/controller/state/request_limits.rs
+++ b/src/controller/state/request_limits.rs
@@ -123,10 +123,7 @@
         match outcome {
             Err(StoreError::RateLimited) => self.request_limits.record_user_changes_throttled(),
             Ok(_) => self.request_limits.record_user_changes_accepted(),
-            Err(StoreError::TransactionRefused(size)) => {
-                // Users' transactions are not repeated, except by users, who are told why.
-                let _ = self.record_refused_transaction(size);
-            }
+            Err(StoreError::TransactionRefused(size)) => self.record_refused_transaction(size),
             // Other failures do not depend on the rate.
             Err(_) => {}
         }
--- a/src/controller/store_calls.rs
+++ b/src/controller/store_calls.rs
@@ -1,9 +1,9 @@
 //! Store calls: tracking of the store's reachability, and retries of the leader's transactions.
 
 use super::handles::Handles;
-use super::state::{AfterRefusal, ControllerState};
+use super::state::ControllerState;
 use crate::protocol::Txn;
-use crate::store::{StoreError, TxnOutcome, TxnSize};
+use crate::store::{StoreError, TxnOutcome, TxnSize, WriteLimits};
 use rand::Rng;
 use std::ops::Range;
 use std::time::Duration;
@@ -35,15 +35,16 @@
 
     /// Runs a transaction of the leader, retrying while the store rejects it for exceeding the request rate.
     ///
-    /// If the store refuses it for its size, the known limits are lowered, to which the caller builds its next transaction. Where
-    /// that would be the same one, the error is returned after a delay.
+    /// If the store refuses it for its size, the known limits are lowered, to which the caller builds its next transaction. Unless
+    /// they are other ones by then, that would be the same transaction, and the error is returned after a delay.
     pub(super) async fn leader_transaction(&self, txn: &Txn) -> Result<TxnOutcome, StoreError> {
+        let built_for = self.read_state(|state| state.write_limits().clone());
         let mut retries = 0;
         loop {
             self.update_state(|state| state.record_own_changes(txn.apply.len()));
             let result = self.record_store_response(self.store.txn(txn).await);
             if let Err(StoreError::TransactionRefused(size)) = &result {
-                self.delay_repetition(size).await;
+                self.delay_repetition(size, &built_for).await;
             }
             if result != Err(StoreError::RateLimited) || retries == RETRY_LIMIT {
                 self.update_state(|state| state.record_batch_outcome(txn.apply.len(), &result));
@@ -55,10 +56,14 @@
         }
     }
 
-    /// Records that the store has refused a transaction for its size, and waits if the next one would be the same.
-    async fn delay_repetition(&self, size: &TxnSize) {
-        let next = self.update_state(|state| state.record_refused_transaction(size));
-        if next == AfterRefusal::WouldRepeat {
+    /// Records that the store has refused a transaction for its size, and waits if the limits for which it was built are still the
+    /// known ones.
+    async fn delay_repetition(&self, size: &TxnSize, built_for: &WriteLimits) {
+        let would_repeat = self.update_state(|state| {
+            state.record_refused_transaction(size);
+            state.write_limits().has_same_size_limits(built_for)
+        });
+        if would_repeat {
             tokio::time::sleep(REFUSED_RETRY_DELAY).await;
         }
     }
--- a/src/controller/tests/failover/lowered_limits.rs
+++ b/src/controller/tests/failover/lowered_limits.rs
@@ -29,7 +29,7 @@
             largest_value: controller.write_limits().value_bytes(),
             total: 0,
         };
-        let _ = controller.record_refused_transaction(&refused);
+        controller.record_refused_transaction(&refused);
     }
     controller
 }
--- a/src/controller/tests/mod.rs
+++ b/src/controller/tests/mod.rs
@@ -9,4 +9,5 @@
 mod fault_combinations;
 mod large_fleets;
 mod random_schedules;
+mod refused_transactions;
 mod simulation;
--- a/src/controller/tests/simulation/store.rs
+++ b/src/controller/tests/simulation/store.rs
@@ -289,7 +289,7 @@
         if !self.store.limits.accept(&size) {
             self.store.refused_for_size += 1;
             let controller = self.nodes[node].running_controller_mut();
-            let _ = controller.record_refused_transaction(&size);
+            controller.record_refused_transaction(&size);
             return Err(StoreError::TransactionRefused(size));
         }
         let late_write_probability = self.faults.late_write_probability;
--- a/src/controller/tests/simulation/users.rs
+++ b/src/controller/tests/simulation/users.rs
@@ -92,7 +92,7 @@
         let size = TxnSize::of(&txn);
         if !self.store.limits.accept(&size) {
             self.store.refused_for_size += 1;
-            let _ = controller.record_refused_transaction(&size);
+            controller.record_refused_transaction(&size);
             return false;
         }
         let TxnOutcome::Applied(revision) = self.store.commit(&txn) else {
--- a/src/store/limits.rs
+++ b/src/store/limits.rs
@@ -115,6 +115,12 @@
             && size.total <= MAX_TRANSACTION_BYTES
     }
 
+    /// Reports whether the limits on sizes are those of other limits, so that a transaction would be built in the same way.
+    #[must_use]
+    pub fn has_same_size_limits(&self, other: &WriteLimits) -> bool {
+        (self.value_bytes, self.changes) == (other.value_bytes, other.changes)
+    }
+
     /// Lowers the limits after the service has refused a transaction of this size, if it kept to them. Returns whether they were
     /// lowered.
     ///
