--- a/src/controller/tests/failover/lowered_limits.rs
+++ b/src/controller/tests/failover/lowered_limits.rs
@@ -1,8 +1,9 @@
 //! Failover after the store has lowered its limits: records that are larger than any that may be written now.
 
 use super::*;
+use crate::controller::state::OpenRental;
 use crate::protocol::Txn;
-use crate::store::{guard, TxnSize};
+use crate::store::{guard, RentalRecord, TxnSize};
 
 /// Limit on values after the change, in bytes.
 const VALUE_BYTES: usize = 1024;
@@ -104,3 +105,42 @@
     let remaining: Vec<String> = (1..50).chain(101..150).map(machine_name).collect();
     assert_eq!(rented_machines(&controller), remaining);
 }
+
+/// If the names of rented machines need more records than a transaction may have changes, the rest is left to adoption. The
+/// transaction would be refused otherwise, and with it every further rental.
+#[test]
+fn parts_of_a_rental_are_no_more_than_the_changes_of_a_transaction() {
+    let mut controller = leader_with_large_rental();
+    let batch = |changes| TxnSize {
+        changes,
+        ..TxnSize::default()
+    };
+    while controller.write_limits().changes() > 3 {
+        let changes = controller.write_limits().changes();
+        controller.record_refused_transaction(&batch(changes));
+    }
+    let names: Vec<String> = (200..250).map(machine_name).collect();
+    let parts = controller.rental_parts(&OpenRental {
+        name: "drover-0-77-1".into(),
+        record: RentalRecord {
+            machine_type: "m8".into(),
+            zone: "a".into(),
+            spot: false,
+            count: 50,
+            machines: Some(names.clone()),
+        },
+        version: Revision::new(7),
+    });
+    let txn = Txn {
+        guards: parts.iter().map(OpenRental::guard).collect(),
+        apply: parts.iter().map(OpenRental::change).collect(),
+    };
+    assert!(controller.write_limits().accept(&TxnSize::of(&txn)));
+    let versions: Vec<u64> = parts.iter().map(|part| part.version.as_u64()).collect();
+    assert_eq!(versions, [7, 0, 0]);
+    let stored: Vec<String> = parts
+        .iter()
+        .flat_map(|part| part.record.machines.clone().unwrap())
+        .collect();
+    assert!(stored.len() > 30 && names.starts_with(&stored));
+}
