Random schedules also meet lowered limits of the store, announced or not

docs/safety.md said that they draw them; they did not. 20 seeds of their own lower the limits in the first half of the schedule: with odd seeds the settings announce it and not a single write may be refused, with even seeds some write has to be, or the test would test nothing. The schedules of existing seeds stay the same.

--- a/src/controller/tests/random_schedules/mod.rs
+++ b/src/controller/tests/random_schedules/mod.rs
@@ -7,7 +7,8 @@
 mod scheduled_fault;
 mod workload;
 
-use super::simulation::Simulation;
+use super::simulation::{Deployment, Simulation, SizeLimits};
+use crate::config::NextStateLimits;
 use rand::Rng;
 use scheduled_fault::ScheduledFault;
 use std::time::Duration;
@@ -22,8 +23,31 @@
 /// Number of seeds that are run unless `WORLD_SEEDS` sets another number.
 const DEFAULT_SEEDS: u64 = 40;
 
+/// Number of seeds that are run with lowered limits of the store unless `WORLD_SEEDS` sets another number.
+const DEFAULT_SEEDS_WITH_LOWERED_LIMITS: u64 = 20;
+
+/// Number of machines.
+const MACHINES: u32 = 6;
+
+/// Number of machines of the schedules with lowered limits, whose starts take more than one slot after the change.
+const MACHINES_WITH_LOWERED_LIMITS: u32 = 16;
+
+/// Maximum CPUs of the team with even seeds in the schedules without lowered limits.
+const TEAM_CPU_LIMIT: f64 = 30.0;
+
+/// Limits of the store after it has lowered them: a slot of the start log no longer holds the starts of all machines.
+const LOWERED_LIMITS: SizeLimits = SizeLimits {
+    value_bytes: 512,
+    changes: 3,
+};
+
 /// Runs a random schedule. Faults that do not end by themselves may still be active when it ends.
 fn run_schedule(simulation: &mut Simulation) {
+    run_schedule_with(simulation, |_| {});
+}
+
+/// Runs a random schedule like [`run_schedule`] and calls a function in each of its rounds.
+fn run_schedule_with(simulation: &mut Simulation, mut in_round: impl FnMut(&mut Simulation)) {
     let mut workload = Workload::default();
     for _ in 0..4 {
         workload.submit(simulation);
@@ -32,6 +56,7 @@
     let end = simulation.now() + SCHEDULE_DURATION;
     while simulation.now() < end {
         simulation.run(ROUND_INTERVAL);
+        in_round(simulation);
         if simulation.rng.gen_bool(0.10) {
             workload.submit(simulation);
         }
@@ -60,13 +85,41 @@
 /// Runs the schedule of a seed, ends all faults, waits for the jobs to settle, and returns the violations. With even seeds,
 /// the team has a CPU limit.
 fn violations_of(seed: u64) -> Vec<String> {
-    let team_limit = seed.is_multiple_of(2).then_some(30.0);
-    let mut simulation = Simulation::with_team_cpu_limit(seed, 6, team_limit);
+    let team_limit = seed.is_multiple_of(2).then_some(TEAM_CPU_LIMIT);
+    let mut simulation = Simulation::with_team_cpu_limit(seed, MACHINES, team_limit);
     run_schedule(&mut simulation);
+    settle(simulation).violations
+}
+
+/// Ends all faults and waits for the jobs to settle.
+fn settle(mut simulation: Simulation) -> Simulation {
     simulation.end_all_faults();
     let time_limit = simulation.time_to_settle();
     simulation.settle(time_limit);
-    simulation.violations
+    simulation
+}
+
+/// Runs the schedule of a seed like [`violations_of`], in the first half of which the store lowers its limits. With odd seeds, the
+/// settings announce that.
+fn run_with_lowered_limits(seed: u64) -> Simulation {
+    let is_announced = !seed.is_multiple_of(2);
+    let deployment = Deployment {
+        team_cpu_limit: None,
+        next_limits: is_announced.then_some(NextStateLimits {
+            value_kb: Some(LOWERED_LIMITS.value_bytes as f64 / 1024.0),
+            txn_ops: Some(LOWERED_LIMITS.changes),
+            ..NextStateLimits::default()
+        }),
+    };
+    let mut simulation =
+        Simulation::with_deployment(seed, MACHINES_WITH_LOWERED_LIMITS, deployment);
+    let lowered_at = simulation.now() + SCHEDULE_DURATION * (seed % 10) as u32 / 20;
+    run_schedule_with(&mut simulation, |simulation| {
+        if simulation.now() >= lowered_at {
+            simulation.store.limits = LOWERED_LIMITS;
+        }
+    });
+    settle(simulation)
 }
 
 /// Returns the number in an environment variable, or `default` if it is unset or not a number.
@@ -97,3 +150,30 @@
         );
     }
 }
+
+/// Faults that meet a change of the limits. Not a single write may exceed announced limits, whatever else happens.
+#[test]
+fn random_schedules_with_lowered_limits_violate_no_invariant() {
+    let first_seed = number_from_env("WORLD_FROM", 0);
+    let seeds = number_from_env("WORLD_SEEDS", DEFAULT_SEEDS_WITH_LOWERED_LIMITS);
+    let mut unannounced_refusals = 0;
+    for seed in first_seed..first_seed + seeds {
+        let simulation = run_with_lowered_limits(seed);
+        let violations = &simulation.violations;
+        assert!(
+            violations.is_empty(),
+            "seed {seed}: {:#?}",
+            &violations[..violations.len().min(5)]
+        );
+        let refusals = simulation.store.refused_for_size;
+        if seed.is_multiple_of(2) {
+            unannounced_refusals += refusals;
+        } else {
+            assert_eq!(refusals, 0, "seed {seed}");
+        }
+    }
+    assert!(
+        unannounced_refusals > 0 || seeds < 2,
+        "no write was refused, so that nothing was tested"
+    );
+}
