--- a/tests/harness/store/content.rs
+++ b/tests/harness/store/content.rs
@@ -167,6 +167,14 @@
         self.keys.get(key).map(|stored| key_value(key, stored))
     }
 
+    /// Returns the keys with a prefix.
+    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.keys.keys();
+        keys.filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
+    }
+
     /// Returns a page of keys.
     pub(crate) fn page(&self, query: &PageQuery) -> Page {
         let start = if query.after.is_empty() {
--- a/tests/harness/store/mod.rs
+++ b/tests/harness/store/mod.rs
@@ -76,6 +76,11 @@
         item.value.deserialized().ok()
     }
 
+    /// Returns the keys with a prefix.
+    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
+        lock(&self.content).keys(prefix)
+    }
+
     async fn run_lease_expiry(self) {
         loop {
             tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
--- a/tests/soak/controllers.rs
+++ b/tests/soak/controllers.rs
@@ -4,6 +4,7 @@
 use crate::harness::process::{ControllerProcess, Launch};
 use crate::harness::topology::ControllerId;
 use std::cell::RefCell;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -49,6 +50,13 @@
         self.slots.borrow_mut()[controller.0].process = None;
     }
 
+    /// Sets the program that controllers run when they are started the next time.
+    pub(crate) fn set_program(&self, program: &Path) {
+        for slot in self.slots.borrow_mut().iter_mut() {
+            slot.launch.program = program.to_path_buf();
+        }
+    }
+
     /// Starts a controller that was killed.
     pub(crate) fn start_if_killed(&self, controller: ControllerId) {
         let slot = &mut self.slots.borrow_mut()[controller.0];
--- a/tests/soak/lowered_limits.rs
+++ b/tests/soak/lowered_limits.rs
@@ -1,172 +1,44 @@
 //! The state service lowers its limits while jobs run, without any other trouble.
 
-use crate::harness::history::{Answer, Observation, Recorder};
-use crate::harness::jobs::{JobDescription, JobRegistry};
-use crate::harness::topology::{ControllerId, ReservedNetwork};
-use crate::harness::user::User;
+use crate::cluster::{play, Cluster, EFFECT_TIMEOUT};
+use crate::harness::history::Answer;
+use crate::harness::topology::ControllerId;
 use crate::options::Options;
-use crate::run::{deployment, log_directory, start, LOWERED_LIMITS, MACHINE_TYPES, START_TIMEOUT};
+use crate::run::MACHINE_TYPES;
 use crate::schedule::Notice;
-use crate::troubles::Surroundings;
 use crate::workload::draws::long_list_of_machine_types;
-use crate::workload::TEAMS;
-use hollowswitch::protocol::{JobKind, JobSpec, JobState, Priority};
-use std::collections::BTreeSet;
+use hollowswitch::protocol::{JobSpec, JobState, MachineType};
+use hollowswitch::store::catalogue_key;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
 /// Number of services of four replicas that run when the limits are lowered. The log of their starts exceeds the lowered limit.
 const SERVICES: u32 = 25;
-/// Time within which a request has its effect.
-const EFFECT_TIMEOUT: Duration = Duration::from_secs(40);
-/// Time between two questions or two tries.
-const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// A deployment whose state service will lower its limits.
-struct Cluster {
-    surroundings: Surroundings,
-    registry: JobRegistry,
-    user: User,
-    recorder: Recorder,
-    _network: ReservedNetwork,
-}
-
-impl Cluster {
-    async fn start(seed: u64, notice: Notice) -> Cluster {
-        Cluster::start_with(Options::for_seed(seed), notice).await
-    }
-
-    async fn start_with(options: Options, notice: Notice) -> Cluster {
-        let network = ReservedNetwork::reserve(std::process::id() as usize);
-        let logs = log_directory(options.seed).expect("a directory for the logs");
-        let recorder = Recorder::new();
-        let deployment = deployment(&options, notice);
-        let surroundings = start(&options, &deployment, &network.topology, &logs, &recorder)
-            .await
-            .expect("the stand-ins and controllers can be started");
-        let workload = &surroundings.workload;
-        workload.wait_for_healthy_controller(START_TIMEOUT).await;
-        Cluster {
-            registry: workload.registry(),
-            user: User::new(&network.topology, &recorder),
-            surroundings,
-            recorder,
-            _network: network,
-        }
-    }
-
-    /// Describes a service of four replicas to the workers.
-    fn service(&self, number: u32, machine_types: Option<Vec<String>>) -> JobSpec {
-        let spec = JobSpec {
-            id: format!("wk-{number:020}"),
-            class: "service".into(),
-            team: TEAMS[0].0.into(),
-            kind: JobKind::Service,
-            priority: Priority::Production,
-            tasks: 4,
-            cpus: 0.5,
-            gpus: 0.0,
-            memory_gb: 0.5,
-            image: "image-1".into(),
-            image_gb: 0.1,
-            machine_types,
-            zone: None,
-            single_zone: false,
-            spread_zones: false,
-            spot: false,
-            run_time_estimate_s: 0.0,
-            checkpoint_interval_s: 0.0,
-            checkpoint_save_s: 0.0,
-            deadline_s: None,
-        };
-        self.describe(&spec);
-        spec
-    }
-
-    fn describe(&self, spec: &JobSpec) {
-        self.registry.upload(JobDescription {
-            spec: spec.clone(),
-            run_time: Duration::ZERO,
-        });
-    }
-
-    /// Submits a job until there is a definite answer.
-    async fn submit(&self, controller: ControllerId, job: &JobSpec) -> Answer {
-        loop {
-            let answer = self.user.submit(controller, job).await;
-            if matches!(answer, Answer::State(_) | Answer::Rejected) {
-                return answer;
-            }
-            sleep(RETRY_INTERVAL).await;
-        }
-    }
-
-    /// Submits a service that has to be accepted.
-    async fn submit_accepted(&self, number: u32, machine_types: Option<Vec<String>>) -> JobSpec {
-        let job = self.service(number, machine_types);
-        self.accept(&job).await;
-        job
-    }
-
-    /// Submits a job that has to be accepted.
-    async fn accept(&self, job: &JobSpec) {
-        let answer = timeout(EFFECT_TIMEOUT, self.submit(ControllerId(0), job)).await;
-        assert!(matches!(answer, Ok(Answer::State(_))), "{answer:?}");
-    }
-
-    /// Waits until all controllers say that a job is in a state.
-    async fn wait_for_state(&self, job: &JobSpec, state: JobState) {
-        for controller in ControllerId::all() {
-            let reached = async {
-                while self.user.poll(controller, &job.id).await != Answer::State(state) {
-                    sleep(RETRY_INTERVAL).await;
-                }
-            };
-            let reached = timeout(EFFECT_TIMEOUT, reached).await;
-            assert!(reached.is_ok(), "{} is not {state:?}", job.id);
-        }
-    }
-
-    /// Returns the number of tasks that were on a machine so far.
-    fn tasks_on_machines(&self) -> usize {
-        let history = self.recorder.history();
-        let tasks = history.iter().filter_map(|entry| match &entry.observation {
-            Observation::TaskOnMachine(attempt) => Some(attempt.task.as_str()),
-            _ => None,
-        });
-        tasks.collect::<BTreeSet<&str>>().len()
-    }
-
-    fn lower_limits(&self) {
-        let store = &self.surroundings.store;
-        store.disturb(|it| it.set_limits(LOWERED_LIMITS));
+/// Starts the services, and lowers the limits once they run.
+async fn run_services_and_lower_limits(cluster: &Cluster) {
+    let mut services = Vec::new();
+    for number in 0..SERVICES {
+        services.push(cluster.submit_accepted(number, None).await);
     }
-
-    /// Starts the services, and lowers the limits once they run.
-    async fn run_services_and_lower_limits(&self) {
-        let mut services = Vec::new();
-        for number in 0..SERVICES {
-            services.push(self.submit_accepted(number, None).await);
-        }
-        for service in &services {
-            self.wait_for_state(service, JobState::Running).await;
-        }
-        self.lower_limits();
+    for service in &services {
+        cluster.wait_for_state(service, JobState::Running).await;
     }
-}
-
-/// Plays a test.
-fn play(test: impl std::future::Future<Output = ()>) {
-    actix_web::rt::System::new().block_on(test);
+    cluster.lower_limits();
 }
 
 async fn check_that_later_jobs_start(seed: u64, notice: Notice) {
-    let cluster = Cluster::start(seed, notice).await;
-    cluster.run_services_and_lower_limits().await;
+    let cluster = Cluster::start(Options::for_seed(seed), notice).await;
+    run_services_and_lower_limits(&cluster).await;
     for number in 100..103 {
         let job = cluster.submit_accepted(number, None).await;
         cluster.wait_for_state(&job, JobState::Running).await;
     }
+    assert!(
+        cluster.violations().is_empty(),
+        "{:?}",
+        cluster.violations()
+    );
     let refused = cluster.surroundings.store.refused_for_size();
     match notice {
         Notice::InSettings => assert_eq!(refused, 0),
@@ -187,7 +59,7 @@
 }
 
 async fn check_jobs_with_large_records(seed: u64, notice: Notice) {
-    let cluster = Cluster::start(seed, notice).await;
+    let cluster = Cluster::start(Options::for_seed(seed), notice).await;
     let large = || Some(long_list_of_machine_types());
     let kept = cluster.submit_accepted(1, large()).await;
     let cancelled = cluster.submit_accepted(2, large()).await;
@@ -207,13 +79,7 @@
         assert_eq!(repeated, Answer::State(JobState::Running));
     }
     // What is stored above the limit can be cancelled: its record moves.
-    let cancel = async {
-        let confirmed = Answer::State(JobState::Cancelled);
-        while cluster.user.cancel(ControllerId(1), &cancelled.id).await != confirmed {
-            sleep(RETRY_INTERVAL).await;
-        }
-    };
-    assert!(timeout(EFFECT_TIMEOUT, cancel).await.is_ok());
+    cluster.cancel(ControllerId(1), &cancelled).await;
     cluster
         .wait_for_state(&cancelled, JobState::Cancelled)
         .await;
@@ -241,7 +107,7 @@
         machine_name_digits: 90,
         ..Options::for_seed(seed)
     };
-    let cluster = Cluster::start_with(options, notice).await;
+    let cluster = Cluster::start(options, notice).await;
     cluster.lower_limits();
     let job = JobSpec {
         cpus: 4.0,
@@ -250,12 +116,7 @@
     };
     cluster.describe(&job);
     cluster.accept(&job).await;
-    let running = async {
-        while cluster.tasks_on_machines() < MACHINES as usize {
-            sleep(RETRY_INTERVAL).await;
-        }
-    };
-    assert!(timeout(EFFECT_TIMEOUT, running).await.is_ok());
+    cluster.wait_for_tasks(MACHINES as usize).await;
 }
 
 /// The names of rented machines were once stored in one record. If it was refused for its size, the machines were neither used nor
@@ -270,3 +131,51 @@
 fn machines_are_used_although_their_names_exceed_the_lowered_limit() {
     play(check_rental_of_many_machines(9006, Notice::None));
 }
+
+/// Number of machine types that make the catalogue larger than the lowered limit on values.
+const OTHER_MACHINE_TYPES: usize = 12;
+/// More than the time between two refreshes of the catalogue.
+const REFRESH_TIME: Duration = Duration::from_secs(23);
+
+/// The lower limits are in force from the beginning, so that the catalogue is never stored.
+async fn check_catalogue_that_cannot_be_stored(seed: u64, notice: Notice) {
+    let options = Options {
+        other_machine_types: OTHER_MACHINE_TYPES,
+        ..Options::for_seed(seed)
+    };
+    let cluster = Cluster::launch(options, notice).await;
+    cluster.lower_limits();
+    cluster.wait_until_healthy().await;
+    let first = cluster.submit_accepted(1, None).await;
+    cluster.wait_for_state(&first, JobState::Running).await;
+    let store = &cluster.surroundings.store;
+    assert!(store.read::<Vec<MachineType>>(&catalogue_key()).is_none());
+    let refused = store.refused_for_size();
+    sleep(REFRESH_TIME).await;
+    assert_eq!(
+        store.refused_for_size(),
+        refused,
+        "a refused write is repeated"
+    );
+    if notice == Notice::InSettings {
+        assert_eq!(refused, 0);
+    }
+    cluster.restart_controllers().await;
+    let second = cluster.submit_accepted(2, None).await;
+    cluster.wait_for_state(&second, JobState::Running).await;
+}
+
+/// A catalogue that exceeds the limit was once sent at each refresh. Controllers get the machine types from the cloud instead.
+#[test]
+fn a_catalogue_that_exceeds_the_announced_limit_is_not_sent() {
+    play(check_catalogue_that_cannot_be_stored(
+        9007,
+        Notice::InSettings,
+    ));
+}
+
+/// Like the test above, with limits that are not announced: the first refusal is the last one.
+#[test]
+fn a_catalogue_that_was_refused_is_not_sent_again() {
+    play(check_catalogue_that_cannot_be_stored(9008, Notice::None));
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 //! number of seeds played at the same time, `SOAK_KEEP_LOGS=1` that the logs are kept without a failure too, and `SOAK_PROGRAM`
 //! another program to test.
 
+mod cluster;
 mod controllers;
 #[path = "../harness/mod.rs"]
 #[expect(dead_code, reason = "the load driver uses the rest of the stand-ins")]
@@ -22,4 +23,5 @@
 mod schedule;
 mod seeds;
 mod troubles;
+mod versions;
 mod workload;
--- a/tests/soak/options.rs
+++ b/tests/soak/options.rs
@@ -13,6 +13,8 @@
     pub(crate) workers: usize,
     /// Number of digits in the names of machines.
     pub(crate) machine_name_digits: usize,
+    /// Number of machine types that are too expensive to be rented, besides the usual ones.
+    pub(crate) other_machine_types: usize,
     /// For how long there are troubles.
     pub(crate) troubles: Duration,
     /// The program of the controllers.
@@ -27,6 +29,7 @@
             seed,
             workers: variable("SOAK_WORKERS").unwrap_or(24),
             machine_name_digits: 6,
+            other_machine_types: 0,
             troubles: Duration::from_secs(variable("SOAK_TROUBLES_S").unwrap_or(15)),
             program: program
                 .unwrap_or_else(|_| env!("CARGO_BIN_EXE_hollowswitch").to_string())
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -192,11 +192,15 @@
         boot_s: BOOT_TIME.as_secs_f64(),
         zones: ZONES.iter().map(ToString::to_string).collect(),
     };
+    let usual = [
+        machine_type(MACHINE_TYPES[0], 4.0, 1.0),
+        machine_type(MACHINE_TYPES[1], 8.0, 2.0),
+    ];
+    let others = (0..options.other_machine_types)
+        .map(|number| machine_type(&format!("other-{number}"), 4.0, 1000.0));
+    let machine_types = usual.into_iter().chain(others).collect();
     CloudSettings {
-        machine_types: vec![
-            machine_type(MACHINE_TYPES[0], 4.0, 1.0),
-            machine_type(MACHINE_TYPES[1], 8.0, 2.0),
-        ],
+        machine_types,
         capacity: options.workers,
         boot_time: BOOT_TIME,
         list_lag: Duration::from_secs_f64(CLOUD_LIMITS.list_lag_s),
@@ -255,7 +259,7 @@
     ControllerId::all().map(launch).collect()
 }
 
-fn bounds(deployment: &Deployment) -> Bounds {
+pub(crate) fn bounds(deployment: &Deployment) -> Bounds {
     let limit = |team: &Team| TeamLimit {
         team: team.name.clone(),
         cpus: team.cpus_max,
