--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -8,12 +8,12 @@
 use crate::harness::user::User;
 use crate::invariants::{check, Violation};
 use crate::options::Options;
-use crate::run::{bounds, deployment, log_directory, start, LOWERED_LIMITS, START_TIMEOUT};
+use crate::run::{bounds, deployment, log_directory, start, START_TIMEOUT};
 use crate::schedule::Notice;
 use crate::troubles::Surroundings;
 use crate::workload::TEAMS;
 use hollowswitch::protocol::{JobKind, JobSpec, JobState, Priority};
-use hollowswitch::store::rental_key;
+use hollowswitch::store::{rental_key, stopping_key};
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -38,6 +38,7 @@
     /// Records what the user and the workers observe.
     pub(crate) recorder: Recorder,
     deployment: Deployment,
+    lowered_limits: Limits,
     _network: ReservedNetwork,
 }
 
@@ -64,6 +65,7 @@
             surroundings,
             recorder,
             deployment,
+            lowered_limits: options.lowered_limits,
             _network: network,
         }
     }
@@ -179,6 +181,16 @@
         keys.iter().filter(|key| key.contains('.')).count()
     }
 
+    /// Returns the number of cancelled jobs whose records are still kept.
+    pub(crate) fn stopping_jobs(&self) -> usize {
+        self.surroundings.store.keys(&stopping_key("")).len()
+    }
+
+    /// Returns the number of machines that were adopted.
+    pub(crate) fn adopted_machines(&self) -> usize {
+        self.surroundings.store.keys(&rental_key("found-")).len()
+    }
+
     /// Returns the number of tasks that were on a machine so far.
     pub(crate) fn tasks_on_machines(&self) -> usize {
         let history = self.recorder.history();
@@ -217,6 +229,17 @@
         self.deployment.state.present()
     }
 
+    /// Waits until no record of a cancelled job is left, for a limited time.
+    pub(crate) async fn wait_until_all_stopped(&self) {
+        let stopped = async {
+            while self.stopping_jobs() > 0 {
+                sleep(RETRY_INTERVAL).await;
+            }
+        };
+        let stopped = timeout(EFFECT_TIMEOUT, stopped).await;
+        assert!(stopped.is_ok(), "{} jobs are left", self.stopping_jobs());
+    }
+
     /// Changes the limits of the state service.
     pub(crate) fn set_limits(&self, limits: Limits) {
         self.surroundings.store.disturb(|it| it.set_limits(limits));
@@ -224,6 +247,6 @@
 
     /// Lowers the limits of the state service.
     pub(crate) fn lower_limits(&self) {
-        self.set_limits(LOWERED_LIMITS);
+        self.set_limits(self.lowered_limits);
     }
 }
--- a/tests/soak/lowered_limits.rs
+++ b/tests/soak/lowered_limits.rs
@@ -2,9 +2,10 @@
 
 use crate::cluster::{play, Cluster, EFFECT_TIMEOUT};
 use crate::harness::history::Answer;
-use crate::harness::topology::ControllerId;
+use crate::harness::store::Limits;
+use crate::harness::topology::{ControllerId, CONTROLLER_COUNT};
 use crate::options::Options;
-use crate::run::MACHINE_TYPES;
+use crate::run::{LOWERED_LIMITS, MACHINE_TYPES};
 use crate::schedule::Notice;
 use crate::workload::draws::long_list_of_machine_types;
 use hollowswitch::protocol::{JobSpec, JobState, MachineType};
@@ -102,13 +103,8 @@
 /// Number of machines that one job needs. Their names don't fit into one record under the lowered limit.
 const MACHINES: u32 = 20;
 
-async fn check_rental_of_many_machines(seed: u64, notice: Notice) {
-    let options = Options {
-        machine_name_digits: 90,
-        ..Options::for_seed(seed)
-    };
-    let cluster = Cluster::start(options, notice).await;
-    cluster.lower_limits();
+/// Submits a job that takes [`MACHINES`] machines, and waits until it runs.
+async fn run_job_on_many_machines(cluster: &Cluster) {
     let job = JobSpec {
         cpus: 4.0,
         tasks: MACHINES,
@@ -119,6 +115,16 @@
     cluster.wait_for_tasks(MACHINES as usize).await;
 }
 
+async fn check_rental_of_many_machines(seed: u64, notice: Notice) {
+    let options = Options {
+        machine_name_digits: 90,
+        ..Options::for_seed(seed)
+    };
+    let cluster = Cluster::start(options, notice).await;
+    cluster.lower_limits();
+    run_job_on_many_machines(&cluster).await;
+}
+
 /// The names of rented machines were once stored in one record. If it was refused for its size, the machines were neither used nor
 /// returned, and no others were rented.
 #[test]
@@ -132,6 +138,75 @@
     play(check_rental_of_many_machines(9006, Notice::None));
 }
 
+/// If the records of one transaction don't hold the names of all rented machines, the others are adopted. Announced limits hold for
+/// that, too.
+#[test]
+fn machines_left_out_of_the_records_of_a_rental_are_adopted() {
+    play(async {
+        let options = Options {
+            machine_name_digits: 90,
+            lowered_limits: Limits {
+                value_kb: 0.5,
+                txn_ops: 3,
+                ..LOWERED_LIMITS
+            },
+            ..Options::for_seed(9010)
+        };
+        let cluster = Cluster::start(options, Notice::InSettings).await;
+        cluster.lower_limits();
+        run_job_on_many_machines(&cluster).await;
+        assert!(cluster.adopted_machines() > 0, "no machine was left out");
+        assert_eq!(cluster.surroundings.store.refused_for_size(), 0);
+    });
+}
+
+/// Limits under which a batch of the leader has more changes than the service admits in a second.
+const LOW_RATE: Limits = Limits {
+    rps: 200.0,
+    write_rps: 4.0,
+    value_kb: 32.0,
+    txn_ops: 16,
+};
+
+/// Time for which the machines hang while jobs on them are cancelled, shorter than their lease.
+const HANG_TIME: Duration = Duration::from_secs(5);
+
+/// Changes beyond the burst of a second are never admitted. Nobody announces here how far the rate falls: the records of cancelled
+/// jobs, which all wait for the same machines, once stayed for good, since their deletion was tried in one batch.
+#[test]
+fn batches_are_admitted_and_jobs_start_after_the_rate_of_changes_has_fallen() {
+    play(async {
+        let options = Options {
+            lowered_limits: LOW_RATE,
+            ..Options::for_seed(9011)
+        };
+        let cluster = Cluster::start(options, Notice::None).await;
+        let mut cancelled = Vec::new();
+        for number in 0..SERVICES / 2 {
+            cancelled.push(cluster.submit_accepted(number, None).await);
+        }
+        for job in &cancelled {
+            cluster.wait_for_state(job, JobState::Running).await;
+        }
+        for worker in cluster.surroundings.cloud.workers() {
+            worker.hang(HANG_TIME);
+        }
+        let cancellations = cancelled
+            .iter()
+            .zip((0..CONTROLLER_COUNT).cycle().map(ControllerId))
+            .map(|(job, controller)| cluster.cancel(controller, job));
+        futures_util::future::join_all(cancellations).await;
+        cluster.lower_limits();
+        assert!(cluster.stopping_jobs() as f64 > LOW_RATE.write_rps);
+        cluster.wait_until_all_stopped().await;
+        for number in 100..103 {
+            let job = cluster.submit_accepted(number, None).await;
+            cluster.wait_for_state(&job, JobState::Running).await;
+        }
+        assert!(cluster.violations().is_empty());
+    });
+}
+
 /// Number of machine types that make the catalogue larger than the lowered limit on values.
 const OTHER_MACHINE_TYPES: usize = 12;
 /// More than the time between two refreshes of the catalogue.
--- a/tests/soak/options.rs
+++ b/tests/soak/options.rs
@@ -1,5 +1,7 @@
 //! Options of a run, from environment variables where given.
 
+use crate::harness::store::Limits;
+use crate::run::LOWERED_LIMITS;
 use std::path::PathBuf;
 use std::str::FromStr;
 use std::time::Duration;
@@ -15,6 +17,8 @@
     pub(crate) machine_name_digits: usize,
     /// Number of machine types that are too expensive to be rented, besides the usual ones.
     pub(crate) other_machine_types: usize,
+    /// Limits of the state service after it has lowered them.
+    pub(crate) lowered_limits: Limits,
     /// For how long there are troubles.
     pub(crate) troubles: Duration,
     /// The program of the controllers.
@@ -30,6 +34,7 @@
             workers: variable("SOAK_WORKERS").unwrap_or(24),
             machine_name_digits: 6,
             other_machine_types: 0,
+            lowered_limits: LOWERED_LIMITS,
             troubles: Duration::from_secs(variable("SOAK_TROUBLES_S").unwrap_or(15)),
             program: program
                 .unwrap_or_else(|_| env!("CARGO_BIN_EXE_hollowswitch").to_string())
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -220,7 +220,7 @@
         teams: TEAMS.iter().map(team).collect(),
         workers: TIMINGS,
         state: StoreLimits {
-            next: (notice == Notice::InSettings).then_some(LOWERED_LIMITS),
+            next: (notice == Notice::InSettings).then_some(options.lowered_limits),
             ..STORE_LIMITS
         },
         cloud: CLOUD_LIMITS,
--- a/tests/soak/versions.rs
+++ b/tests/soak/versions.rs
@@ -39,16 +39,20 @@
     job
 }
 
-/// Cancels a job and ends all controllers at once, so that the next leader knows the job from its reduced record only.
-async fn cancel_and_hand_over(cluster: &Cluster, job: &JobSpec, program: &Path) {
+/// Cancels a job and ends all controllers at once, so that the next leader knows the job from its record only. Returns that record,
+/// if it was not deleted before.
+async fn cancel_and_hand_over(
+    cluster: &Cluster,
+    job: &JobSpec,
+    program: &Path,
+) -> Option<JobRecord> {
     cluster.cancel(ControllerId(1), job).await;
-    let store = &cluster.surroundings.store;
-    let record = store.read::<JobRecord>(&stopping_key(&job.id));
-    let is_reduced = record.map(|record| record.spec.machine_types.is_none());
-    assert_ne!(is_reduced, Some(false), "the record was not reduced");
-    cluster.surroundings.controllers.set_program(program);
+    let controllers = &cluster.surroundings.controllers;
+    controllers.set_program(program);
+    ControllerId::all().for_each(|controller| controllers.kill(controller));
+    let record = cluster.surroundings.store.read(&stopping_key(&job.id));
     cluster.restart_controllers().await;
-    println!("reduced record met the other version: {is_reduced:?}");
+    record
 }
 
 /// Jobs whose records were written under lowered limits, or before.
@@ -97,7 +101,9 @@
 
     // The other version is not able to live with the lowered limits, but has to understand what was written under them.
     cluster.set_limits(present);
-    cancel_and_hand_over(&cluster, &cancelled, &other).await;
+    let reduced = cancel_and_hand_over(&cluster, &cancelled, &other).await;
+    let machine_types = reduced.map(|record| record.spec.machine_types);
+    assert_eq!(machine_types, Some(None), "no reduced record was met");
     wait_until_stopped(&cluster, &cancelled).await;
     for job in [&kept, &wide] {
         cluster.wait_for_state(job, JobState::Running).await;
@@ -112,28 +118,25 @@
         .read::<JobRecord>(&live_key(&by_other.id));
     assert_eq!(stored.map(|record| record.spec), Some(by_other.clone()));
 
-    // What the other version has written is taken over under the lowered limits.
-    cluster.lower_limits();
-    cancel_and_hand_over(&cluster, &wide, &own).await;
-    wait_until_stopped(&cluster, &wide).await;
-    cluster.cancel(ControllerId(2), &by_other).await;
-    wait_until_stopped(&cluster, &by_other).await;
-    let last = cluster.submit_accepted(5, None).await;
-    for job in [&kept, &last] {
-        cluster.wait_for_state(job, JobState::Running).await;
-    }
+    take_over(&cluster, &own, &wide, &by_other).await;
+    cluster.wait_for_state(&kept, JobState::Running).await;
     let repeated = cluster.submit(ControllerId(0), &cancelled).await;
     assert_eq!(repeated, Answer::State(JobState::Cancelled));
-    assert!(
-        cluster.violations().is_empty(),
-        "{:?}",
-        cluster.violations()
-    );
-    assert_eq!(
-        cluster.starts(),
-        cluster.tasks_on_machines(),
-        "a task was started again"
-    );
+    let violations = cluster.violations();
+    assert!(violations.is_empty(), "{violations:?}");
+    let starts = cluster.starts();
+    assert_eq!(starts, cluster.tasks_on_machines(), "a task ran again");
+}
+
+/// This version takes over what the other one has written, under the lowered limits.
+async fn take_over(cluster: &Cluster, own: &Path, wide: &JobSpec, by_other: &JobSpec) {
+    cluster.lower_limits();
+    cancel_and_hand_over(cluster, wide, own).await;
+    wait_until_stopped(cluster, wide).await;
+    cluster.cancel(ControllerId(2), by_other).await;
+    wait_until_stopped(cluster, by_other).await;
+    let last = cluster.submit_accepted(5, None).await;
+    cluster.wait_for_state(&last, JobState::Running).await;
 }
 
 /// An older version beside this one reads reduced records of cancelled jobs and divided rentals: it stops the tasks of the former,
