Review: stand-ins in Python, case 4: a waiting service keeps its team's array from ever ending

Cause: quota is freed for a production service without regard to whether any machine has room for it, so that the next pass gives it back to the array and the one after stops the array again. Change: tests only, stand-ins of the platform and the case.

--- a/review/standins-2/cloud.py
+++ b/review/standins-2/cloud.py
@@ -9,13 +9,13 @@
 
 
 class Cloud:
-    def __init__(self, world, flavors, rps=3.0, lag=10.0, boot=2.0, spot_prices_cheap=True):
+    def __init__(self, world, flavors, rps=3.0, lag=10.0, boot=2.0):
         self.world, self.flavors, self.lag, self.boot = world, flavors, lag, boot
         self.requests = Bucket(rps)
         self.requests.rate, self.requests.level = rps, rps * 2
         self.machines, self.hires, self.count, self.lists = {}, {}, 0, []
         self.down = False
-        self.capacity = None   # function(breed, yard, loaners) -> how many more may be rented
+        self.limits = {}       # (breed, loaners) -> how many machines of this type and kind the cloud has in a zone
         self.hook = None       # async hook(controller, method, path, body)
 
     def handler(self, controller):
@@ -52,8 +52,11 @@
         if name in self.hires:
             return 200, {"hosts": self.hires[name]}
         count = min(body["howMany"], 50)
-        if self.capacity:
-            count = min(count, self.capacity(body["breed"], body["yard"], body["loaners"]))
+        limit = self.limits.get((body["breed"], body["loaners"]))
+        if limit is not None:
+            in_use = [w for w in (m["worker"] for m in self.machines.values())
+                      if (w.flavor["sku"], w.spot, w.yard) == (body["breed"], body["loaners"], body["yard"])]
+            count = min(count, limit - len(in_use))
         if count <= 0:
             return 503, {"error": "no capacity"}
         flavor = next(f for f in self.flavors if f["sku"] == body["breed"])
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -61,8 +61,7 @@
     async def lease_loop(self):
         while not self.ended:
             await asyncio.sleep(0.05)
-            if self.hung:
-                continue
+            # Also of a machine that hangs: it may resume within its lease only.
             if time.monotonic() > self.lease_from + self.world.lease_s:
                 self.world.log("worker", self.host, "lease expired, shift", self.shift + 1)
                 for chore in list(self.chores.values()):
@@ -208,6 +207,10 @@
         self.changed.set()
         if chore.name in self.results:
             return self.exit(chore, "done")
+        if job["id"] in self.world.mistaken:
+            # Submitted with a mistake: fails on every machine.
+            await asyncio.sleep(1.0)
+            return self.exit(chore, "error")
         run_s = self.world.run_s(chore.name)
         left = run_s
         while left > 0:
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -2,6 +2,7 @@
 import asyncio
 import os
 import random
+import re
 import shutil
 import signal
 import socket
@@ -9,7 +10,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 from cloud import Cloud
 from http1 import Client
@@ -42,6 +42,7 @@
         self.api, self.internal = {}, {}
         self.processes, self.logs = {}, {}
         self.jobs, self.runs, self.results = {}, {}, set()
+        self.mistaken = set()     # jobs that were submitted with a mistake
         self.on_machine = {}      # task -> {(host, attempt)}
         self.starts = []          # (time, task, attempt, host)
         self.start_commands = []
@@ -129,8 +130,8 @@
         self.state_ports = {name: self.free_port() for name in self.names}
         self.cloud_ports = {name: self.free_port() for name in self.names}
         self.background = [await self.state.start(self.state_ports), await self.cloud.start(self.cloud_ports)]
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as file:
-            run = tomllib.load(file)["run"].split()
+        with open(os.path.join(ROOT, "deploy", "service.toml")) as file:
+            run = re.search(r'^run *= *"(.*)"', file.read(), re.M).group(1).split()
         run[0] = os.path.join(ROOT, run[0])
         if not os.access(run[0], os.X_OK):
             raise CannotRun("the program is not built: " + run[0])
@@ -282,6 +283,8 @@
         world = World(folder, **options)
         world.log("trouble:", trouble)
         code = 0
+        # Ends the controllers also if the script is told to end.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, lambda: (world.finish(), os._exit(2)))
         try:
             await world.prepare()
             world.background.append(asyncio.ensure_future(world.watch_leader()))
