--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -101,7 +101,12 @@
             try:
                 if self.mute:
                     raise OSError("mute")
-                status, _, body = await client.request("POST", "/hello", self.report(), timeout=4.0)
+                report = self.report()
+                self.world.log("worker", self.host, "report ->", self.node, "shift", report["shift"], "tally", report["tally"], "baton",
+                               report["baton"], [(c["chore"], c["try"], c.get("cause") or c["standing"]) for c in report["chores"]])
+                status, _, body = await client.request("POST", "/hello", report, timeout=4.0)
+                self.world.log("worker", self.host, "report <-", self.node, "tally", report["tally"], status,
+                               (body or {}).get("baton") or (body or {}).get("foreman") or "")
                 if self.deaf:
                     raise OSError("deaf")
                 while self.hung:
@@ -109,6 +114,7 @@
                 if time.monotonic() - sent > 4.0:
                     raise OSError("late")
             except (OSError, asyncio.TimeoutError):
+                self.world.log("worker", self.host, "report <-", self.node, "no answer")
                 client.close()
                 client, wait = None, 1.0
                 self.next_node()
@@ -155,6 +161,7 @@
             if not isinstance(body, dict) or "baton" not in body or "shift" not in body:
                 return 400, {"error": "malformed"}
             if body["baton"] < self.baton or body["shift"] != self.shift:
+                self.world.log("worker", self.host, "orders refused", body["baton"], body["shift"])
                 return 409, self.report()
             self.see(body["baton"])
             self.execute(body.get("orders") or [], "direct")
